--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -2,14 +2,17 @@
 # unit tests are *_test.cc beside them, benches are *_bench.cc.
 
 function(tm_sources out)
-  file(GLOB found CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
+  file(GLOB_RECURSE found CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
   list(FILTER found EXCLUDE REGEX "(_test|_bench|_main|_fuzz)\\.cc$")
   set(${out} ${found} PARENT_SCOPE)
 endfunction()
 
 # tm_add_tests(LIBRARIES...): one Boost.Test program per *_test.cc.
 function(tm_add_tests)
-  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cc)
+  if(TREFOILMILL_ENTRY_ONLY)
+    return()
+  endif()
+  file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cc)
   foreach(source ${tests})
     get_filename_component(name ${source} NAME_WE)
     add_executable(${name} ${source})
@@ -22,7 +25,10 @@
 
 # tm_add_benches(LIBRARIES...): one Google Benchmark program per *_bench.cc.
 function(tm_add_benches)
-  file(GLOB benches CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_bench.cc)
+  if(TREFOILMILL_ENTRY_ONLY)
+    return()
+  endif()
+  file(GLOB_RECURSE benches CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_bench.cc)
   foreach(source ${benches})
     get_filename_component(name ${source} NAME_WE)
     add_executable(${name} ${source})
--- a/src/include/trefoilmill/deployment.h
+++ b/src/include/trefoilmill/deployment.h
@@ -117,6 +117,8 @@
   /// How long a suspect may refute before it counts as dead.
   duration suspicion_timeout = std::chrono::milliseconds(1500);
   int indirect_probes = 3;
+  /// Hosts described in one message when a whole table is sent.
+  int table_chunk = 128;
   /// Bound of clock-rate and scheduling error over the quiet period.
   duration clock_slack = std::chrono::milliseconds(200);
   friend bool operator==(const membership_config&,
--- /dev/null
+++ b/src/include/trefoilmill/entry_settings.h
@@ -0,0 +1,44 @@
+/// Settings of one entry process, read from JSON with comments.
+#ifndef TREFOILMILL_ENTRY_SETTINGS_H_
+#define TREFOILMILL_ENTRY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "trefoilmill/ids.h"
+#include "trefoilmill/process/extra_send_budget.h"
+#include "trefoilmill/settings.h"
+#include "trefoilmill/time.h"
+
+namespace trefoilmill {
+
+struct entry_settings {
+  host_id host;
+  zone_id zone;
+  /// Where callers send requests.
+  socket_address callers;
+  /// Where the platform asks whether this host is ready.
+  socket_address readiness;
+  /// Where callers ask which addresses to use.
+  socket_address directory;
+  /// Other hosts: datagrams and copies of what is in force, one port number
+  /// for both, the same on all hosts.
+  socket_address peers;
+  /// The platform's object store.
+  socket_address store;
+  /// IP numbers of hosts to ask for the fleet while the store is away.
+  std::vector<std::string> seed_ips;
+  /// Also serves the metrics there; port 0 serves none.
+  std::uint16_t metrics_port = 0;
+  /// From the request to stop until the process is ended by force.
+  duration grace = std::chrono::seconds(6);
+  /// An endpoint that leaves gets nothing after this long.
+  duration drain = std::chrono::seconds(3);
+  extra_send_bound extra_sends;
+  log_level log = log_level::kInfo;
+};
+
+}  // namespace trefoilmill
+
+#endif  // TREFOILMILL_ENTRY_SETTINGS_H_
--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "trefoilmill/http_message.h"
 #include "trefoilmill/ids.h"
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/time.h"
@@ -19,35 +20,6 @@
 
 namespace trefoilmill {
 
-struct http_header {
-  std::string name;
-  std::string value;
-};
-
-struct http_request {
-  /// "GET", "POST", "PUT" or "DELETE"; others arrive by their own name.
-  std::string method;
-  /// Decoded path, without the query string.
-  std::string path;
-  std::map<std::string, std::string> query;
-  std::vector<http_header> headers;
-  std::string body;
-  /// The peer's IP number; server side only.
-  std::string peer_ip;
-
-  /// First header of that name, whatever its case.
-  std::optional<std::string> Header(const std::string& name) const;
-};
-
-struct http_response {
-  int status = 200;
-  std::vector<http_header> headers;
-  std::string body;
-  std::string content_type = "application/json";
-
-  std::optional<std::string> Header(const std::string& name) const;
-};
-
 /// Answers one request, now or later. If destroyed unsent, sends status 500.
 /// Copies share the one request; only the first Send() counts.
 class http_responder {
@@ -73,6 +45,9 @@
 
 struct http_server_options {
   std::size_t max_body_bytes = 1 << 20;
+  /// Leaves `path` and `query` of requests empty, for handlers that only use
+  /// the target.
+  bool target_only = false;
   std::size_t max_header_bytes = 16384;
   duration idle_timeout = std::chrono::seconds(60);
 };
@@ -91,8 +66,14 @@
   /// The port listened on, also when it was given as 0 (any).
   std::uint16_t port() const;
 
+  /// Bounds for connections that open from now on.
+  void SetLimits(std::size_t max_header_bytes,
+                 std::size_t max_body_bytes,
+                 duration idle_timeout);
   /// Every reply from now on says `Connection: close`.
   void CloseAfterReplies();
+  /// Closes connections on which no request is being handled or arriving.
+  void CloseIdle();
   /// Stops listening; open connections stay.
   void StopAccepting();
   std::size_t open_connections() const;
@@ -134,6 +115,12 @@
     std::size_t max_body_bytes = 1 << 20;
     /// Local IP number to connect from; empty for any.
     std::string local_ip;
+    /// Takes a reply without a length as complete if the peer closed the
+    /// connection in good order.
+    bool accept_close_delimited = false;
+    /// How soon probes of the peer find out that an open connection leads
+    /// nowhere; zero sends no probes.
+    duration dead_peer_timeout{};
   };
   using on_connected = std::function<void(bool connected)>;
   using on_reply = std::function<void(http_exchange)>;
@@ -172,7 +159,9 @@
 class http_client {
  public:
   /// Connects from `local_ip`; from any if empty.
-  explicit http_client(event_loop& loop, std::string local_ip = "");
+  explicit http_client(event_loop& loop,
+                       std::string local_ip = "",
+                       const http_connection::options& opts = {});
   ~http_client();
   /// Opens a connection if none is idle; `done` is called exactly once.
   void Send(const socket_address& address,
--- a/src/include/trefoilmill/net/metrics.h
+++ b/src/include/trefoilmill/net/metrics.h
@@ -45,6 +45,13 @@
   kLeaving,
   kTimelineDropped,
   kLoopDelay,
+  kCallerRequests,
+  kCallerRequestDuration,
+  kEndpointSends,
+  kSendBudgetRefusals,
+  kEndpointsKnown,
+  kConfigurationVersion,
+  kLogLinesDropped,
 };
 
 enum class metric_kind { kCounter, kGauge, kHistogram };
--- a/src/include/trefoilmill/wire/log_codec.h
+++ b/src/include/trefoilmill/wire/log_codec.h
@@ -5,6 +5,10 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include "trefoilmill/ids.h"
 #include "trefoilmill/settings.h"
@@ -12,6 +16,9 @@
 
 namespace trefoilmill {
 
+/// A number or text in a record.
+using log_value = std::variant<std::int64_t, double, std::string>;
+
 /// What a record is about. Empty fields are left out.
 struct log_fields {
   request_id request;
@@ -26,6 +33,8 @@
   /// Left out unless there is a reason.
   verdict outcome = verdict::kNotRun;
   std::string detail;
+  /// What decided, by name, in this order.
+  std::vector<std::pair<std::string_view, log_value>> inputs;
 };
 
 struct log_record {
--- a/src/libtmnet/http_client.cc
+++ b/src/libtmnet/http_client.cc
@@ -28,11 +28,12 @@
   using call_handle = std::list<call>::iterator;
 
   event_loop& loop;
-  std::string local_ip;
+  http_connection::options opts;
   std::list<call> calls;
   std::map<socket_address, std::vector<std::unique_ptr<http_connection>>> idle;
 
-  impl(event_loop& l, std::string ip) : loop(l), local_ip(std::move(ip)) {}
+  impl(event_loop& l, http_connection::options o)
+      : loop(l), opts(std::move(o)) {}
 
   void Begin(call_handle handle);
   void Open(call_handle handle);
@@ -58,8 +59,10 @@
 void http_client::impl::Open(call_handle handle) {
   handle->reused = false;
   const duration left = handle->deadline - loop.Now();
-  handle->connection = http_connection::Create(
-      loop, handle->address, {.connect_timeout = left, .local_ip = local_ip});
+  http_connection::options wanted = opts;
+  wanted.connect_timeout = std::min(left, opts.connect_timeout);
+  handle->connection =
+      http_connection::Create(loop, handle->address, wanted);
   handle->connection->Connect([this, handle](bool connected) {
     if (connected) {
       SendOn(handle);
@@ -100,8 +103,13 @@
   }
 }
 
-http_client::http_client(event_loop& loop, std::string local_ip)
-    : impl_(std::make_unique<impl>(loop, std::move(local_ip))) {}
+http_client::http_client(event_loop& loop,
+                         std::string local_ip,
+                         const http_connection::options& opts) {
+  http_connection::options wanted = opts;
+  wanted.local_ip = std::move(local_ip);
+  impl_ = std::make_unique<impl>(loop, std::move(wanted));
+}
 
 http_client::~http_client() = default;
 
--- a/src/libtmnet/http_common.cc
+++ b/src/libtmnet/http_common.cc
@@ -3,7 +3,6 @@
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -32,18 +31,6 @@
     method_entry{EVHTTP_REQ_PATCH, "PATCH"},
 };
 
-std::optional<std::string> FindHeader(const std::vector<http_header>& headers,
-                                      const std::string& name) {
-  const auto found =
-      std::ranges::find_if(headers, [&](const http_header& header) {
-        return strcasecmp(header.name.c_str(), name.c_str()) == 0;
-      });
-  if (found == headers.end()) {
-    return std::nullopt;
-  }
-  return found->value;
-}
-
 std::string Encode(const std::string& text) {
   char* encoded =
       evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
@@ -68,20 +55,25 @@
 
 }  // namespace
 
-std::optional<std::string> http_request::Header(const std::string& name) const {
-  return FindHeader(headers, name);
-}
-
-std::optional<std::string> http_response::Header(
-    const std::string& name) const {
-  return FindHeader(headers, name);
-}
-
 void SetNoDelay(evutil_socket_t fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+void SetDeadPeerTimeout(evutil_socket_t fd, duration timeout) {
+  const int on = 1;
+  const int probes = 2;
+  const auto whole = std::chrono::ceil<std::chrono::seconds>(timeout);
+  const int interval = std::max(1, static_cast<int>(whole.count()) / probes);
+  const auto unacknowledged_ms = static_cast<unsigned>(timeout.count() / 1000);
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+             sizeof unacknowledged_ms);
+}
+
 std::string CopyBuffer(evbuffer* buffer) {
   std::string copy(evbuffer_get_length(buffer), '\0');
   evbuffer_copyout(buffer, copy.data(), copy.size());
--- a/src/libtmnet/http_common.h
+++ b/src/libtmnet/http_common.h
@@ -17,6 +17,10 @@
 /// Stops the kernel from delaying small segments.
 void SetNoDelay(evutil_socket_t fd);
 
+/// Has the kernel give up a connection whose peer has been silent for about
+/// `timeout`, which is rounded to whole seconds.
+void SetDeadPeerTimeout(evutil_socket_t fd, duration timeout);
+
 /// The whole content of `buffer`, which keeps it.
 std::string CopyBuffer(evbuffer* buffer);
 
--- a/src/libtmnet/http_connection.cc
+++ b/src/libtmnet/http_connection.cc
@@ -70,15 +70,18 @@
                  const http_request& request,
                  const socket_address& address) {
   evkeyvalq* headers = evhttp_request_get_output_headers(raw);
-  const std::string host = address.ip + ":" + std::to_string(address.port);
-  evhttp_add_header(headers, "Host", host.c_str());
+  const bool as_given = !request.target.empty();
+  if (!as_given) {
+    const std::string host = address.ip + ":" + std::to_string(address.port);
+    evhttp_add_header(headers, "Host", host.c_str());
+  }
   for (const auto& header : request.headers) {
     evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
   }
   if (request.body.empty()) {
     return;
   }
-  if (evhttp_find_header(headers, "Content-Type") == nullptr) {
+  if (!as_given && evhttp_find_header(headers, "Content-Type") == nullptr) {
     evhttp_add_header(headers, "Content-Type", "application/json");
   }
   evhttp_add_header(headers, "Content-Length",
@@ -212,6 +215,9 @@
   at = stage::kFresh;
   deadline = timer();
   SetNoDelay(bufferevent_getfd(bev));
+  if (opts.dead_peer_timeout > duration::zero()) {
+    SetDeadPeerTimeout(bufferevent_getfd(bev), opts.dead_peer_timeout);
+  }
   bufferevent_setcb(bev, &impl::OnData, nullptr, &impl::OnEvent, this);
   bufferevent_set_timeouts(bev, nullptr, nullptr);
   bufferevent_enable(bev, EV_READ);
@@ -254,7 +260,8 @@
   reply_done = std::move(done);
   deadline = loop.After(
       timeout, [this] { Finish({.failed = http_failure::kTimeout}, false); });
-  const std::string target = EncodeTarget(request);
+  const std::string target =
+      request.target.empty() ? EncodeTarget(request) : request.target;
   const evhttp_cmd_type type = MethodType(request.method);
   if (!fresh) {
     evhttp_request* raw = evhttp_request_new(&impl::OnReply, this);
@@ -304,7 +311,9 @@
   response.headers = CopyHeaders(evhttp_request_get_input_headers(raw));
   response.content_type = response.Header("Content-Type").value_or("");
   response.body = CopyBuffer(evhttp_request_get_input_buffer(raw));
-  if (!HasDelimitedBody(response)) {
+  // evhttp reports a connection that was reset within such a body as an error.
+  if (!HasDelimitedBody(response) &&
+      !connection->opts.accept_close_delimited) {
     connection->Finish({.failed = http_failure::kMalformed}, false);
     return;
   }
--- a/src/libtmnet/http_responder.cc
+++ b/src/libtmnet/http_responder.cc
@@ -87,7 +87,9 @@
   for (const auto& header : response.headers) {
     evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
   }
-  evhttp_add_header(headers, "Content-Type", response.content_type.c_str());
+  if (!response.content_type.empty()) {
+    evhttp_add_header(headers, "Content-Type", response.content_type.c_str());
+  }
   if (close && evhttp_find_header(headers, "Connection") == nullptr) {
     evhttp_add_header(headers, "Connection", "close");
   }
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -42,6 +42,20 @@
   return error;
 }
 
+void DecodeTarget(evhttp_request* raw, http_request& request) {
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(raw);
+  request.path = DecodePath(evhttp_uri_get_path(uri));
+  const char* text = evhttp_uri_get_query(uri);
+  evkeyvalq query{};
+  if (text == nullptr || evhttp_parse_query_str(text, &query) != 0) {
+    return;
+  }
+  for (auto& header : CopyHeaders(&query)) {
+    request.query.emplace(std::move(header.name), std::move(header.value));
+  }
+  evhttp_clear_headers(&query);
+}
+
 }  // namespace
 
 struct http_server::impl {
@@ -73,6 +87,7 @@
                        void* connection);
   void Adopt(bufferevent* bev);
   void Dispatch(evhttp_request* raw);
+  void ApplyLimits();
   std::optional<http_response> CheckLimits(const http_request& request) const;
 };
 
@@ -198,15 +213,9 @@
   http_request request;
   request.method =
       MethodName(static_cast<unsigned>(evhttp_request_get_command(raw)));
-  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(raw);
-  request.path = DecodePath(evhttp_uri_get_path(uri));
-  evkeyvalq query{};
-  if (const char* text = evhttp_uri_get_query(uri);
-      text != nullptr && evhttp_parse_query_str(text, &query) == 0) {
-    for (auto& header : CopyHeaders(&query)) {
-      request.query.emplace(std::move(header.name), std::move(header.value));
-    }
-    evhttp_clear_headers(&query);
+  request.target = evhttp_request_get_uri(raw);
+  if (!options.target_only) {
+    DecodeTarget(raw, request);
   }
   request.headers = CopyHeaders(evhttp_request_get_input_headers(raw));
   request.body = CopyBuffer(evhttp_request_get_input_buffer(raw));
@@ -222,6 +231,17 @@
   on_request(std::move(request), http_responder(std::move(responder)));
 }
 
+void http_server::impl::ApplyLimits() {
+  const auto header_limit =
+      static_cast<ev_ssize_t>(options.max_header_bytes) * kLibraryLimitFactor;
+  const auto body_limit =
+      static_cast<ev_ssize_t>(options.max_body_bytes) * kLibraryLimitFactor;
+  evhttp_set_max_headers_size(http.get(), header_limit);
+  evhttp_set_max_body_size(http.get(), body_limit);
+  state->idle_timeout = ToTimeval(options.idle_timeout);
+  evhttp_set_timeout_tv(http.get(), &state->idle_timeout);
+}
+
 http_server::http_server(std::unique_ptr<impl> state)
     : impl_(std::move(state)) {}
 
@@ -260,15 +280,7 @@
               reinterpret_cast<sockaddr*>(&where), &size);
   made->port = ntohs(where.sin_port);
   made->bound = evhttp_bind_listener(http, listener);
-  const auto header_limit =
-      static_cast<ev_ssize_t>(options.max_header_bytes) * kLibraryLimitFactor;
-  const auto body_limit =
-      static_cast<ev_ssize_t>(options.max_body_bytes) * kLibraryLimitFactor;
-  evhttp_set_max_headers_size(http, header_limit);
-  evhttp_set_max_body_size(http, body_limit);
-  const timeval idle = ToTimeval(options.idle_timeout);
-  made->state->idle_timeout = idle;
-  evhttp_set_timeout_tv(http, &idle);
+  made->ApplyLimits();
   evhttp_set_allowed_methods(http, kAllMethods);
   evhttp_set_bevcb(http, &impl::MakeBufferevent, made.get());
   evhttp_set_gencb(http, &impl::OnRequest, made.get());
@@ -279,6 +291,26 @@
   return impl_->port;
 }
 
+void http_server::SetLimits(std::size_t max_header_bytes,
+                            std::size_t max_body_bytes,
+                            duration idle_timeout) {
+  impl_->options.max_header_bytes = max_header_bytes;
+  impl_->options.max_body_bytes = max_body_bytes;
+  impl_->options.idle_timeout = idle_timeout;
+  impl_->ApplyLimits();
+}
+
+void http_server::CloseIdle() {
+  // Bytes that wait in the socket belong to a request that crossed the close.
+  for (const auto& [evcon, connection] : impl_->connections) {
+    if (connection->current.expired() &&
+        evbuffer_get_length(bufferevent_get_input(connection->bev)) == 0 &&
+        evbuffer_get_length(bufferevent_get_output(connection->bev)) == 0) {
+      shutdown(bufferevent_getfd(connection->bev), SHUT_RDWR);
+    }
+  }
+}
+
 void http_server::CloseAfterReplies() {
   impl_->state->close_after_replies = true;
 }
--- a/src/libtmnet/log.cc
+++ b/src/libtmnet/log.cc
@@ -1,17 +1,24 @@
 #include "trefoilmill/net/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 #include <boost/shared_ptr.hpp>
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <iostream>
+#include <unordered_map>
 #include <utility>
 
 namespace trefoilmill {
@@ -41,6 +48,57 @@
   return sink;
 }
 
+/// Lines for standard output. They wait in memory until Flush() finds that the
+/// reader has room: a pipe that polls as writable takes kPipeBytes at once.
+class stdout_backend
+    : public logging::sinks::basic_formatted_sink_backend<
+          char,
+          logging::sinks::concurrent_feeding> {
+ public:
+  void consume(const logging::record_view&, const std::string& line) {
+    if (waiting_.size() + line.size() > kMaxWaitingBytes) {
+      ++dropped_;
+      return;
+    }
+    waiting_ += line;
+    waiting_ += '\n';
+  }
+
+  void Flush() {
+    while (!waiting_.empty() && IsWritable()) {
+      const std::size_t size = std::min(waiting_.size(), kPipeBytes);
+      const ssize_t written = write(STDOUT_FILENO, waiting_.data(), size);
+      if (written <= 0) {
+        return;
+      }
+      waiting_.erase(0, static_cast<std::size_t>(written));
+    }
+  }
+
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  static constexpr std::size_t kPipeBytes = 4096;
+  static constexpr std::size_t kMaxWaitingBytes = 65536;
+
+  static bool IsWritable() {
+    pollfd out{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+  }
+
+  std::string waiting_;
+  std::uint64_t dropped_ = 0;
+};
+
+using stdout_sink = logging::sinks::unlocked_sink<stdout_backend>;
+
+/// How many lines of one message went out in the present second.
+struct line_quota {
+  std::uint64_t second = 0;
+  int written = 0;
+  std::int64_t left_out = 0;
+};
+
 std::uint64_t WallMicros() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(
@@ -52,11 +110,45 @@
 struct logger::impl {
   log_level level;
   host_id host;
-  boost::shared_ptr<text_sink> sink;
+  int lines_per_second = 0;
+  boost::shared_ptr<stdout_backend> stdout_lines;
+  boost::shared_ptr<logging::sinks::sink> sink;
   logging::sources::severity_logger<log_level> source;
+  std::unordered_map<std::string, line_quota> quotas;
+
+  // Whether one more line of this message fits into the present second.
+  bool Admit(const std::string& message, std::uint64_t wall_us);
 };
 
+bool logger::impl::Admit(const std::string& message, std::uint64_t wall_us) {
+  constexpr std::uint64_t kSecondUs = 1'000'000;
+  line_quota& quota = quotas[message];
+  if (quota.second != wall_us / kSecondUs) {
+    quota.second = wall_us / kSecondUs;
+    quota.written = 0;
+  }
+  if (quota.written >= lines_per_second) {
+    ++quota.left_out;
+    return false;
+  }
+  ++quota.written;
+  return true;
+}
+
 result<std::unique_ptr<logger>> logger::Create(const options& opts) {
+  if (opts.to_stdout) {
+    auto state = std::make_unique<impl>();
+    state->level = opts.level;
+    state->host = opts.host;
+    state->lines_per_second = opts.lines_per_second;
+    state->stdout_lines = boost::make_shared<stdout_backend>();
+    auto sink = boost::make_shared<stdout_sink>(state->stdout_lines);
+    sink->set_formatter(logging::expressions::stream
+                        << logging::expressions::smessage);
+    state->sink = sink;
+    logging::core::get()->add_sink(state->sink);
+    return std::unique_ptr<logger>(new logger(std::move(state)));
+  }
   const auto stream = OpenStream(opts.file);
   if (stream == nullptr) {
     return failure{.outcome = verdict::kNotRun,
@@ -67,6 +159,7 @@
   auto state = std::make_unique<impl>();
   state->level = opts.level;
   state->host = opts.host;
+  state->lines_per_second = opts.lines_per_second;
   state->sink = MakeSink(stream);
   logging::core::get()->add_sink(state->sink);
   return std::unique_ptr<logger>(new logger(std::move(state)));
@@ -75,10 +168,21 @@
 logger::logger(std::unique_ptr<impl> state) : impl_(std::move(state)) {}
 
 logger::~logger() {
+  Flush();
   logging::core::get()->remove_sink(impl_->sink);
   impl_->sink->flush();
 }
 
+void logger::Flush() {
+  if (impl_->stdout_lines != nullptr) {
+    impl_->stdout_lines->Flush();
+  }
+}
+
+std::uint64_t logger::dropped() const {
+  return impl_->stdout_lines == nullptr ? 0 : impl_->stdout_lines->dropped();
+}
+
 void logger::Debug(const std::string& message, const log_fields& fields) {
   Write(log_level::kDebug, message, fields);
 }
@@ -101,11 +205,23 @@
   if (level < impl_->level) {
     return;
   }
-  const std::string line = WriteLogRecord({.wall_us = WallMicros(),
-                                           .level = level,
-                                           .host = impl_->host,
-                                           .message = message,
-                                           .fields = fields});
+  const std::uint64_t wall_us = WallMicros();
+  log_record record{.wall_us = wall_us,
+                    .level = level,
+                    .host = impl_->host,
+                    .message = message,
+                    .fields = fields};
+  if (impl_->lines_per_second > 0) {
+    if (!impl_->Admit(message, wall_us)) {
+      return;
+    }
+    std::int64_t& left_out = impl_->quotas[message].left_out;
+    if (left_out > 0) {
+      record.fields.inputs.emplace_back("left_out", left_out);
+      left_out = 0;
+    }
+  }
+  const std::string line = WriteLogRecord(record);
   BOOST_LOG_SEV(impl_->source, level) << line;
 }
 
--- a/src/libtmnet/metrics_table.cc
+++ b/src/libtmnet/metrics_table.cc
@@ -227,9 +227,57 @@
   };
 }
 
+std::vector<metric_info> EntryMetrics() {
+  return {
+      {metric::kCallerRequests,
+       kCounter,
+       "trefoilmill_caller_requests_total",
+       "Callers' requests that ended, by outcome: whole, partial, relayed, "
+       "refused, failed or gone (the caller left).",
+       {"outcome"},
+       {}},
+      {metric::kCallerRequestDuration,
+       kHistogram,
+       "trefoilmill_caller_request_duration_seconds",
+       "From a caller's request to its answer, in seconds, by outcome.",
+       {"outcome"},
+       Times()},
+      {metric::kEndpointSends,
+       kCounter,
+       "trefoilmill_endpoint_sends_total",
+       "Sub-requests handed to endpoints, by purpose: first, hedge or retry.",
+       {"purpose"},
+       {}},
+      {metric::kSendBudgetRefusals,
+       kCounter,
+       "trefoilmill_send_budget_refusals_total",
+       "Hedges and retries that the shared budget did not allow.",
+       {},
+       {}},
+      {metric::kEndpointsKnown,
+       kGauge,
+       "trefoilmill_endpoints_known",
+       "Endpoints that the platform announces or did so a moment ago.",
+       {},
+       {}},
+      {metric::kConfigurationVersion,
+       kGauge,
+       "trefoilmill_configuration_version",
+       "Version of the configuration in force.",
+       {},
+       {}},
+      {metric::kLogLinesDropped,
+       kGauge,
+       "trefoilmill_log_lines_dropped",
+       "Log lines lost because nobody read standard output.",
+       {},
+       {}},
+  };
+}
+
 std::vector<metric_info> MakeTable() {
   std::vector<metric_info> table = QueryMetrics();
-  for (const auto& part : {EndpointMetrics(), FleetMetrics()}) {
+  for (const auto& part : {EndpointMetrics(), FleetMetrics(), EntryMetrics()}) {
     table.insert(table.end(), part.begin(), part.end());
   }
   return table;
--- a/src/libtmwire/log_codec.cc
+++ b/src/libtmwire/log_codec.cc
@@ -42,6 +42,10 @@
     out["verdict"] = ToString(fields.outcome);
   }
   SetText(out, "detail", fields.detail);
+  for (const auto& [name, value] : fields.inputs) {
+    std::visit([&, key = std::string(name)](const auto& v) { out[key] = v; },
+               value);
+  }
   return out.dump(-1, ' ', /*ensure_ascii=*/false,
                   ordered::error_handler_t::replace);
 }
--- a/src/libtmwire/wire_json.cc
+++ b/src/libtmwire/wire_json.cc
@@ -1,5 +1,7 @@
 #include "wire_json.h"
 
+#include "object_reader.h"
+
 #include <charconv>
 #include <utility>
 
@@ -60,6 +62,22 @@
   return value;
 }
 
+std::optional<socket_address> ParseSocketAddress(const std::string& text) {
+  constexpr std::uint64_t kLastPort = 65535;
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto port = ParseDecimal(text.substr(colon + 1));
+  std::string ip = text.substr(0, colon);
+  if (!port.has_value() || *port == 0 || *port > kLastPort ||
+      !Obeys(ip, text_rule::kIpNumber)) {
+    return std::nullopt;
+  }
+  return socket_address{.ip = std::move(ip),
+                        .port = static_cast<std::uint16_t>(*port)};
+}
+
 failure Malformed(reason_code reason, std::string detail) {
   return {.outcome = verdict::kNotRun,
           .reason = reason,
--- a/src/libtmwire/wire_json.h
+++ b/src/libtmwire/wire_json.h
@@ -34,6 +34,9 @@
 /// All errors as one failure with kBadRequest.
 failure AsFailure(const diagnostics& errors);
 
+/// Reads "10.0.0.1:8000"; nullopt for any other text.
+std::optional<socket_address> ParseSocketAddress(const std::string& text);
+
 json AddressJson(const socket_address& address);
 
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/membership.cc
+++ b/src/libtrefoilmill/membership.cc
@@ -13,8 +13,6 @@
 
 /// Peers told at once that this host leaves, or lives on.
 constexpr std::size_t kAnnounceFanout = 8;
-/// Updates in one message of a whole table.
-constexpr std::size_t kTableChunk = 128;
 /// A host sends a table at most once in this long per entry: a bound on bytes
 /// that holds at any size of the fleet.
 constexpr duration kTableIntervalPerMember = std::chrono::milliseconds(10);
@@ -306,6 +304,7 @@
     }
     last_table_ = now;
   }
+  const auto table_chunk = static_cast<std::size_t>(config_.table_chunk);
   announce_message chunk{.documents = documents_, .updates = {}};
   const auto flush = [&] {
     out.emplace_back(send{.to = to, .message = chunk});
@@ -316,7 +315,7 @@
     if (IsReachable(m.state) ? id != to : id == to) {
       chunk.updates.push_back(UpdateOf(m));
     }
-    if (chunk.updates.size() == kTableChunk) {
+    if (chunk.updates.size() >= table_chunk) {
       flush();
     }
   }
--- /dev/null
+++ b/src/libtrefoilmill/process/extra_send_budget.cc
@@ -0,0 +1,65 @@
+#include "trefoilmill/process/extra_send_budget.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace trefoilmill {
+namespace {
+
+/// Part of the ratio that is handed out; the rest covers requests that are
+/// counted in another window than their extra sends.
+constexpr double kRatioShare = 0.85;
+/// Part of the slack that is handed out.
+constexpr double kSlackShare = 0.8;
+
+}  // namespace
+
+extra_send_budget::extra_send_budget(const extra_send_bound& bound)
+    : bound_(bound) {}
+
+void extra_send_budget::SetHosts(std::size_t hosts) {
+  hosts_ = std::max<double>(1, static_cast<double>(hosts));
+}
+
+double extra_send_budget::cap() const {
+  return std::max(1.0, SlackShare() / 2);
+}
+
+double extra_send_budget::SlackShare() const {
+  return kSlackShare * bound_.slack / hosts_;
+}
+
+extra_send_budget::account& extra_send_budget::Refilled(
+    time_point now,
+    const service_id& service) {
+  const auto [found, fresh] = accounts_.try_emplace(service);
+  account& held = found->second;
+  if (fresh) {
+    held.refilled = now;
+  }
+  const std::chrono::duration<double> passed = now - held.refilled;
+  const std::chrono::duration<double> window = bound_.window;
+  const double per_window = std::max(0.0, SlackShare() - cap());
+  held.refilled = now;
+  held.balance =
+      std::min(cap(), held.balance + per_window * (passed / window));
+  return held;
+}
+
+void extra_send_budget::OnFirstSend(time_point now, const service_id& service) {
+  account& held = Refilled(now, service);
+  held.balance = std::min(cap(), held.balance + kRatioShare * bound_.ratio);
+}
+
+bool extra_send_budget::TrySpend(time_point now,
+                                 const service_id& service,
+                                 double reserve) {
+  account& held = Refilled(now, service);
+  if (held.balance < 1 + reserve) {
+    return false;
+  }
+  held.balance -= 1;
+  return true;
+}
+
+}  // namespace trefoilmill
--- /dev/null
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -0,0 +1,146 @@
+#include "trefoilmill/version/store_follower.h"
+
+#include <algorithm>
+#include <cmath>
+#include <ranges>
+#include <utility>
+
+namespace trefoilmill {
+namespace {
+
+/// Pauses are drawn between this part of their length and the whole, so that
+/// hosts do not call in step.
+constexpr double kLeastPauseShare = 0.6;
+constexpr int kMaxDoublings = 10;
+
+}  // namespace
+
+std::string_view ToString(object_kind kind) {
+  switch (kind) {
+    case object_kind::kConfiguration:
+      return "configuration";
+    case object_kind::kEndpoints:
+      return "endpoints";
+    case object_kind::kZonesOut:
+      return "zones_out";
+    case object_kind::kHosts:
+      return "hosts";
+  }
+  return "unknown";
+}
+
+store_follower::store_follower(const config& settings, std::mt19937_64 random)
+    : config_(settings), random_(random) {}
+
+store_follower::actions store_follower::Start() {
+  return {Next()};
+}
+
+store_follower::action store_follower::Next() {
+  if (listed_) {
+    stage_ = stage::kWatching;
+    return watch{.since = as_of_, .wait = config_.watch_wait};
+  }
+  stage_ = stage::kListing;
+  return list_page{.after = after_};
+}
+
+store_follower::action store_follower::Pause(time_point now, duration length) {
+  std::uniform_real_distribution<double> share(kLeastPauseShare, 1);
+  const auto drawn = static_cast<double>(length.count()) * share(random_);
+  stage_ = stage::kPausing;
+  resume_at_ = now + duration(static_cast<duration::rep>(drawn));
+  return wake{resume_at_};
+}
+
+store_follower::actions store_follower::OnPage(time_point now,
+                                               object_page page) {
+  failures_ = 0;
+  if (after_.empty()) {
+    page_items_.clear();
+    pages_as_of_ = page.as_of;
+  }
+  std::ranges::move(page.items, std::back_inserter(page_items_));
+  if (page.has_more && !page_items_.empty()) {
+    after_ = page_items_.back().name;
+    return {Next()};
+  }
+  after_.clear();
+  listed_ = true;
+  actions out;
+  // A peer may have shown a later revision while the list was read.
+  if (pages_as_of_ >= as_of_) {
+    as_of_ = pages_as_of_;
+    objects_.clear();
+    for (stored_object& object : page_items_) {
+      objects_.insert_or_assign(object.name, object);
+    }
+    out.emplace_back(replaced{});
+  }
+  page_items_.clear();
+  out.push_back(Pause(now, config_.settle));
+  return out;
+}
+
+store_follower::actions store_follower::OnWatch(time_point now,
+                                                watch_result result) {
+  failures_ = 0;
+  if (std::holds_alternative<history_gone>(result)) {
+    listed_ = false;
+    after_.clear();
+    return {Next()};
+  }
+  auto& changes = std::get<object_changes>(result);
+  actions out;
+  for (object_event& event : changes.events) {
+    const auto held = objects_.find(event.object.name);
+    if (held != objects_.end() && held->second.at > event.object.at) {
+      continue;
+    }
+    if (event.deleted) {
+      objects_.erase(event.object.name);
+    } else {
+      objects_.insert_or_assign(event.object.name, event.object);
+    }
+    out.emplace_back(changed{std::move(event)});
+  }
+  as_of_ = std::max(as_of_, changes.as_of);
+  out.push_back(changes.events.empty() ? Next() : Pause(now, config_.settle));
+  return out;
+}
+
+store_follower::actions store_follower::OnFailed(time_point now) {
+  const int doublings = std::min(failures_, kMaxDoublings);
+  ++failures_;
+  const duration length =
+      std::min(config_.longest_backoff, config_.first_backoff * (1 << doublings));
+  return {Pause(now, length)};
+}
+
+store_follower::actions store_follower::Tick(time_point now) {
+  if (stage_ != stage::kPausing || now < resume_at_) {
+    return {};
+  }
+  return {Next()};
+}
+
+store_follower::actions store_follower::OnCopy(copy peer) {
+  if (peer.as_of <= as_of_) {
+    return {};
+  }
+  as_of_ = peer.as_of;
+  objects_.clear();
+  for (stored_object& object : peer.objects) {
+    objects_.insert_or_assign(object.name, object);
+  }
+  return {replaced{}};
+}
+
+store_follower::copy store_follower::Copy() const {
+  copy out{.as_of = as_of_, .objects = {}};
+  std::ranges::copy(std::views::values(objects_),
+                    std::back_inserter(out.objects));
+  return out;
+}
+
+}  // namespace trefoilmill
--- /dev/null
+++ b/src/trefoilmill_entry/entry_process.h
@@ -0,0 +1,88 @@
+/// The entry process: wires its parts together and sees it from start to stop.
+#ifndef TREFOILMILL_ENTRY_ENTRY_PROCESS_H_
+#define TREFOILMILL_ENTRY_ENTRY_PROCESS_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "trefoilmill/entry_settings.h"
+#include "trefoilmill/net/event_loop.h"
+#include "trefoilmill/net/http.h"
+#include "trefoilmill/process/traffic.h"
+#include "trefoilmill/version/route_table.h"
+#include "trefoilmill_entry/endpoint_links.h"
+#include "trefoilmill_entry/peer_task.h"
+#include "trefoilmill_entry/request_task.h"
+#include "trefoilmill_entry/store_task.h"
+#include "trefoilmill_entry/telemetry.h"
+
+namespace trefoilmill::entry {
+
+class entry_process {
+ public:
+  /// `settings_file` is read again on SIGHUP.
+  static result<std::unique_ptr<entry_process>> Create(
+      event_loop& loop,
+      const entry_settings& settings,
+      std::string settings_file);
+  ~entry_process();
+
+ private:
+  entry_process(event_loop& loop,
+                const entry_settings& settings,
+                std::string settings_file);
+
+  result<void> Listen();
+  result<void> ListenForMetrics();
+  void OnReplaced(object_kind kind);
+  void OnChanged(object_kind kind, const object_event& event);
+  void AdoptConfiguration();
+  void AdoptZones();
+  void AdoptHosts();
+  void AdoptEndpoints();
+  void PutEndpoint(const stored_object& object);
+  void Apply(const endpoint_registry::changes& changes);
+  void ShareOut();
+  int MostConnections(const endpoint_record& record) const;
+  bool is_ready() const;
+  void ReportReady();
+  void OnDirectoryRequest(const http_request& request,
+                          const http_responder& responder);
+  void OnReadinessRequest(const http_request& request,
+                          const http_responder& responder);
+  void Tick();
+  void Reload();
+  void Leave();
+  void StopTaking();
+  void EndIfQuiet();
+  void End();
+
+  event_loop& loop_;
+  entry_settings settings_;
+  std::string settings_file_;
+  telemetry trace_;
+  traffic shared_;
+  std::shared_ptr<const route_table> table_;
+  bool endpoints_known_ = false;
+  bool was_ready_ = false;
+  bool leaving_ = false;
+  time_point end_by_;
+  time_point last_tick_;
+  std::unique_ptr<endpoint_links> links_;
+  std::unique_ptr<request_task> requests_;
+  std::unique_ptr<store_task> store_;
+  std::unique_ptr<peer_task> peers_;
+  std::unique_ptr<http_server> callers_;
+  std::unique_ptr<http_server> readiness_;
+  std::unique_ptr<http_server> directory_;
+  std::unique_ptr<http_server> metrics_;
+  timer tick_;
+  timer stop_taking_;
+  timer end_;
+};
+
+}  // namespace trefoilmill::entry
+
+#endif  // TREFOILMILL_ENTRY_ENTRY_PROCESS_H_
--- /dev/null
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -0,0 +1,314 @@
+#include "trefoilmill_entry/peer_task.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "trefoilmill/wire/copy_codec.h"
+#include "trefoilmill/wire/peer_codec.h"
+
+namespace trefoilmill::entry {
+namespace {
+
+/// Small enough for a whole fleet's probes, quick enough to take a dead host
+/// off the directory within some seconds.
+membership_config MembershipConfig() {
+  membership_config config;
+  config.probe_interval = std::chrono::milliseconds(500);
+  config.probe_timeout = std::chrono::milliseconds(200);
+  config.suspicion_timeout = std::chrono::milliseconds(1000);
+  // A table in datagrams that fit into one packet each.
+  config.table_chunk = 6;
+  return config;
+}
+
+constexpr duration kGreetInterval = std::chrono::milliseconds(300);
+constexpr duration kCatchUpInterval = std::chrono::milliseconds(200);
+/// A host whose store connection works gets news by itself within this time.
+constexpr duration kStoreHeadStart = std::chrono::milliseconds(500);
+constexpr duration kFetchTimeout = std::chrono::milliseconds(800);
+constexpr std::size_t kMaxCopyBytes = 8 << 20;
+constexpr char kCopiesPath[] = "/copies/";
+
+document_id DigestName(object_kind kind) {
+  return document_id(std::string(ToString(kind)));
+}
+
+revision DigestOf(const member& m, object_kind kind) {
+  const auto found = std::ranges::find(m.documents, DigestName(kind),
+                                       &document_digest::id);
+  return found == m.documents.end() ? revision() : found->in_force;
+}
+
+bool IsServing(const member& m) {
+  const bool alive =
+      m.state == member_state::kAlive || m.state == member_state::kSuspect;
+  return alive && DigestOf(m, object_kind::kConfiguration) != revision();
+}
+
+}  // namespace
+
+result<std::unique_ptr<peer_task>> peer_task::Create(
+    event_loop& loop,
+    const entry_settings& settings,
+    store_task& store,
+    telemetry& trace,
+    std::function<void()> on_hosts_changed,
+    std::mt19937_64 random) {
+  host_record self{.id = settings.host,
+                   .zone = settings.zone,
+                   .peer = settings.peers,
+                   .callers = settings.callers,
+                   .administration = settings.peers};
+  auto members = membership::Create(loop.Now(), self,
+                                    incarnation(loop.WallMicros()),
+                                    MembershipConfig(), random);
+  if (!members.has_value()) {
+    return members.error();
+  }
+  std::unique_ptr<peer_task> made(
+      new peer_task(loop, settings, store, trace, std::move(on_hosts_changed),
+                    std::move(self), std::move(members.value())));
+  peer_task* task = made.get();
+  auto socket = datagram_socket::Bind(
+      loop, settings.peers,
+      [task](const socket_address& from, const std::string& bytes) {
+        task->OnDatagram(from, bytes);
+      });
+  if (!socket.has_value()) {
+    return socket.error();
+  }
+  made->socket_ = std::move(socket.value());
+  auto copies = http_server::Listen(
+      loop, settings.peers, {},
+      [task](const http_request& request, const http_responder& responder) {
+        task->OnCopyRequest(request, responder);
+      });
+  if (!copies.has_value()) {
+    return copies.error();
+  }
+  made->copies_ = std::move(copies.value());
+  made->Apply(made->members_.Tick(loop.Now()));
+  made->GreetSeeds();
+  made->catch_up_ = loop.Every(kCatchUpInterval, [task] { task->CatchUp(); });
+  return made;
+}
+
+peer_task::peer_task(event_loop& loop,
+                     const entry_settings& settings,
+                     store_task& store,
+                     telemetry& trace,
+                     std::function<void()> on_hosts_changed,
+                     host_record self,
+                     membership members)
+    : loop_(loop),
+      store_(store),
+      trace_(trace),
+      on_hosts_changed_(std::move(on_hosts_changed)),
+      self_(std::move(self)),
+      members_(std::move(members)),
+      client_(loop, settings.callers.ip, {.max_body_bytes = kMaxCopyBytes}) {
+  for (const std::string& ip : settings.seed_ips) {
+    if (ip != self_.peer.ip) {
+      seeds_.push_back({.ip = ip, .port = self_.peer.port});
+    }
+  }
+}
+
+peer_task::~peer_task() = default;
+
+void peer_task::SetListed(std::vector<host_record> hosts) {
+  for (const host_record& host : hosts) {
+    addresses_[host.id] = host.peer;
+    ids_[host.peer] = host.id;
+  }
+  Apply(members_.SetHostList(loop_.Now(), std::move(hosts)));
+  on_hosts_changed_();
+}
+
+void peer_task::PublishDigests() {
+  std::vector<document_digest> digests;
+  for (const object_kind kind : kObjectKinds) {
+    const revision at = store_.Follower(kind).as_of();
+    if (at != revision()) {
+      digests.push_back({.id = DigestName(kind), .in_force = at});
+    }
+  }
+  Apply(members_.SetDocuments(loop_.Now(), std::move(digests)));
+}
+
+void peer_task::Leave() {
+  Apply(members_.Leave(loop_.Now()));
+}
+
+void peer_task::Stop() {
+  Apply(members_.Stop(loop_.Now()));
+}
+
+std::vector<host_record> peer_task::ServingHosts() const {
+  std::vector<host_record> hosts;
+  for (const member& m : std::views::values(members_.members())) {
+    if (IsServing(m)) {
+      hosts.push_back(m.host);
+    }
+  }
+  return hosts;
+}
+
+std::size_t peer_task::CountedHosts() const {
+  std::set<host_id> counted;
+  std::ranges::copy(std::views::keys(members_.members()),
+                    std::inserter(counted, counted.end()));
+  std::ranges::transform(members_.listed(),
+                         std::inserter(counted, counted.end()),
+                         &host_record::id);
+  return counted.size();
+}
+
+void peer_task::Apply(membership::actions actions) {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& a) { Do(a); }, action);
+  }
+}
+
+void peer_task::Do(const membership::send& action) {
+  const auto address = addresses_.find(action.to);
+  if (address == addresses_.end() || socket_ == nullptr) {
+    return;
+  }
+  const std::string bytes =
+      EncodePeerFrame({.sent = {}, .message = action.message});
+  trace_.values->Count(metric::kPeerBytes, {"control", "out"},
+                       static_cast<double>(bytes.size()));
+  socket_->Send(address->second, bytes);
+}
+
+// Datagrams need no link: the peer counts as linked once its address is known.
+void peer_task::Do(const membership::connect& action) {
+  addresses_[action.to.id] = action.to.peer;
+  ids_[action.to.peer] = action.to.id;
+  Apply(members_.LinkUp(loop_.Now(), action.to.id));
+}
+
+void peer_task::Do(const membership::changed& action) {
+  const member& now = action.now;
+  addresses_[now.host.id] = now.host.peer;
+  ids_[now.host.peer] = now.host.id;
+  trace_.log->Info(
+      "host changed state",
+      {.peer = now.host.id,
+       .zone = now.host.zone,
+       .detail = std::string(ToString(now.state)),
+       .inputs = {{"incarnation", static_cast<std::int64_t>(now.life.value())},
+                  {"before", std::string(action.before.has_value()
+                                             ? ToString(*action.before)
+                                             : "unknown")}}});
+  on_hosts_changed_();
+}
+
+void peer_task::Do(const membership::declared_dead& /*action*/) {
+  trace_.log->Warning("other hosts held this host for dead");
+}
+
+void peer_task::Do(const membership::wake& action) {
+  wake_ = loop_.After(action.at - loop_.Now(),
+                      [this] { Apply(members_.Tick(loop_.Now())); });
+}
+
+void peer_task::OnDatagram(const socket_address& from,
+                           const std::string& bytes) {
+  const auto frame = DecodePeerFrame(bytes);
+  if (!frame.has_value()) {
+    trace_.log->Warning("datagram refused", {.detail = frame.error().detail});
+    return;
+  }
+  trace_.values->Count(metric::kPeerBytes, {"control", "in"},
+                       static_cast<double>(bytes.size()));
+  const peer_message& message = frame.value().message;
+  if (const auto* hello = std::get_if<hello_message>(&message)) {
+    const host_record& host = hello->self.host;
+    addresses_[host.id] = host.peer;
+    ids_[host.peer] = host.id;
+  }
+  const auto sender = ids_.find(from);
+  if (sender == ids_.end()) {
+    return;
+  }
+  const host_id id = sender->second;
+  Apply(members_.Receive(loop_.Now(), id, message));
+}
+
+void peer_task::GreetSeeds() {
+  if (members_.members().size() > 1) {
+    return;
+  }
+  hello_message hello{.organisation = {}, .self = members_.SelfUpdate()};
+  const std::string bytes = EncodePeerFrame({.sent = {}, .message = hello});
+  for (const socket_address& seed : seeds_) {
+    socket_->Send(seed, bytes);
+  }
+  greet_ = loop_.After(kGreetInterval, [this] { GreetSeeds(); });
+}
+
+void peer_task::CatchUp() {
+  for (const object_kind kind : kObjectKinds) {
+    const store_follower& own = store_.Follower(kind);
+    std::vector<socket_address> ahead;
+    for (const auto& [id, m] : members_.members()) {
+      const bool reachable = IsServing(m) || m.leaving;
+      if (id != self_.id && reachable && DigestOf(m, kind) > own.as_of()) {
+        ahead.push_back(m.host.peer);
+      }
+    }
+    if (ahead.empty()) {
+      behind_since_.erase(kind);
+      continue;
+    }
+    const time_point now = loop_.Now();
+    const auto [since, fresh] = behind_since_.try_emplace(kind, now);
+    const bool waited = now - since->second >= kStoreHeadStart;
+    if (own.has_content() && !waited) {
+      continue;
+    }
+    since->second = now;
+    Fetch(kind, ahead[static_cast<std::size_t>(now.time_since_epoch().count()) %
+                      ahead.size()]);
+  }
+}
+
+void peer_task::Fetch(object_kind kind, const socket_address& from) {
+  const http_request request{
+      .method = "GET",
+      .path = kCopiesPath + std::string(ToString(kind))};
+  client_.Send(from, request, kFetchTimeout, [this, kind](http_exchange ended) {
+    if (!ended.response.has_value() || ended.response->status != 200) {
+      trace_.log->Info("copy from a peer failed",
+                       {.document = DigestName(kind)});
+      return;
+    }
+    auto copy = DecodeCopy(ended.response->body);
+    if (!copy.has_value()) {
+      trace_.log->Warning("copy from a peer refused",
+                          {.document = DigestName(kind),
+                           .detail = copy.error().detail});
+      return;
+    }
+    store_.OfferCopy(kind, std::move(copy.value()));
+  });
+}
+
+void peer_task::OnCopyRequest(const http_request& request,
+                              const http_responder& reply) {
+  http_response response;
+  response.status = 404;
+  for (const object_kind kind : kObjectKinds) {
+    if (request.path == kCopiesPath + std::string(ToString(kind))) {
+      response.status = 200;
+      response.content_type = "application/cbor";
+      response.body = EncodeCopy(store_.Follower(kind).Copy());
+    }
+  }
+  reply.Send(response);
+}
+
+}  // namespace trefoilmill::entry
