--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -118,9 +118,13 @@
 }
 
 store_follower::actions store_follower::Tick(time_point now) {
-  if (stage_ != stage::kPausing || now < resume_at_) {
+  if (stage_ != stage::kPausing) {
     return {};
   }
+  if (now < resume_at_) {
+    // Timers may fire a little early.
+    return {wake{resume_at_}};
+  }
   return {Next()};
 }
 
