An endpoint whose address answers for another gets nothing more

Cause: after an endpoint's address was given to one of another service, each host went on sending to it until its entry lapsed, some four seconds. Ruled out: the budget itself, whose sum over 7 hosts is 303; 172 logged refusals (1,578 left out) all name one endpoint.

Change: the first 421 takes the endpoint out of placement and the registry.

--- a/src/include/trefoilmill/process/endpoint_registry.h
+++ b/src/include/trefoilmill/process/endpoint_registry.h
@@ -47,6 +47,8 @@
     std::optional<time_point> cold_until;
     /// The platform no longer announces it; forgotten at this time.
     std::optional<time_point> forget_at;
+    /// Another endpoint answered at its address: gets nothing more.
+    bool displaced = false;
   };
 
   /// @name What changed
@@ -74,6 +76,9 @@
   changes Withdraw(time_point now, const endpoint_id& id);
   /// The whole list was read: what it does not hold was withdrawn.
   changes Replace(time_point now, const std::vector<endpoint_record>& records);
+  /// Another endpoint answered at this one's address. Sending there again
+  /// would only load that one.
+  void Displace(time_point now, const endpoint_id& id);
   /// Forgets entries whose grace time is over.
   changes Tick(time_point now);
 
--- a/src/include/trefoilmill/verdict.h
+++ b/src/include/trefoilmill/verdict.h
@@ -34,6 +34,7 @@
   kDraining,            ///< The endpoint or host takes no new work.
   kZoneOut,             ///< The availability zone was taken out.
   kNotOwner,            ///< The receiving host does not own the endpoint.
+  kWrongInstance,       ///< Another endpoint has the address now.
   kVersionGone,         ///< The endpoint no longer has the snapshot.
   kWrongVersion,        ///< The answer named another snapshot; discarded.
   kColdLimit,           ///< The endpoint is cold and its allowance is used.
--- a/src/libtrefoilmill/process/endpoint_registry.cc
+++ b/src/libtrefoilmill/process/endpoint_registry.cc
@@ -33,6 +33,7 @@
   entry& held = entries_[record.id];
   held.record = record;
   held.forget_at.reset();
+  held.displaced = false;
   held.cold_until.reset();
   if (record.cold_for > duration::zero()) {
     held.cold_until = now + record.cold_for;
@@ -74,6 +75,14 @@
   return out;
 }
 
+void endpoint_registry::Displace(time_point now, const endpoint_id& id) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.displaced = true;
+    found->second.forget_at = now;
+  }
+}
+
 endpoint_registry::changes endpoint_registry::Tick(time_point now) {
   changes out;
   std::vector<endpoint_id> due;
--- a/src/libtrefoilmill/process/placement.cc
+++ b/src/libtrefoilmill/process/placement.cc
@@ -79,7 +79,8 @@
 
 bool placement::IsAllowed(time_point now,
                           const endpoint_registry::entry& entry) const {
-  if (entry.record.draining || zones_out_.contains(entry.record.zone)) {
+  if (entry.record.draining || entry.displaced ||
+      zones_out_.contains(entry.record.zone)) {
     return false;
   }
   const auto seen = seen_.find(entry.record.id);
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -179,6 +179,10 @@
   const send_end how = EndOf(outcome);
   shared.places.OnEnd(now, ended.endpoint, id, UsualLatency(shared, *route_),
                       how);
+  if (const auto* refused = std::get_if<endpoint_refused>(&outcome);
+      refused != nullptr && refused->reason == reason_code::kWrongInstance) {
+    shared.registry.Displace(now, ended.endpoint);
+  }
   if (how == send_end::kAnswered) {
     shared.latencies[route_->id].Record(now - ended.sent);
   }
--- a/src/libtrefoilmill/verdict.cc
+++ b/src/libtrefoilmill/verdict.cc
@@ -29,6 +29,7 @@
     named<reason_code>{reason_code::kDraining, "draining"},
     named<reason_code>{reason_code::kZoneOut, "zone_out"},
     named<reason_code>{reason_code::kNotOwner, "not_owner"},
+    named<reason_code>{reason_code::kWrongInstance, "wrong_instance"},
     named<reason_code>{reason_code::kVersionGone, "version_gone"},
     named<reason_code>{reason_code::kWrongVersion, "wrong_version"},
     named<reason_code>{reason_code::kColdLimit, "cold_limit"},
