--- /dev/null
+++ b/src/libtrefoilmill/request/request_run_fixture_test.h
@@ -0,0 +1,149 @@
+/// A fleet of endpoints and one request, for the tests of request_run.
+#ifndef TREFOILMILL_REQUEST_RUN_FIXTURE_TEST_H_
+#define TREFOILMILL_REQUEST_RUN_FIXTURE_TEST_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "trefoilmill/request/request_run.h"
+
+namespace trefoilmill {
+
+struct request_fixture {
+  static constexpr int kShards = 10;
+  static constexpr int kReplicas = 3;
+  static constexpr duration kObjective = std::chrono::milliseconds(100);
+  static constexpr duration kTimeout = std::chrono::milliseconds(600);
+
+  time_point now{std::chrono::seconds(1)};
+  traffic shared{
+      .registry = endpoint_registry(std::chrono::milliseconds(2200)),
+      .places = placement(zone_id("erie"), std::mt19937_64(3)),
+      .extra_sends = extra_send_budget({.ratio = 0.2, .slack = 60}),
+      .latencies = {}};
+  std::shared_ptr<const route_table> table;
+  std::unique_ptr<request_run> run;
+  std::vector<request_run::send> sends;
+  std::optional<caller_answer> answer;
+  std::optional<time_point> wake_at;
+
+  request_fixture() {
+    for (int shard = 0; shard < kShards; ++shard) {
+      for (int replica = 0; replica < kReplicas; ++replica) {
+        AddEndpoint(shard, replica);
+      }
+    }
+    routing_config config;
+    config.routes = {GatherRoute(), RelayRoute("read", repeat_rule::kIdempotent),
+                     RelayRoute("book", repeat_rule::kAtMostOnce)};
+    table = route_table::Create(std::move(config)).value();
+    // A budget as after some traffic.
+    for (int request = 0; request < 60; ++request) {
+      for (int shard = 0; shard < kShards; ++shard) {
+        shared.extra_sends.OnFirstSend(now, Service(shard));
+      }
+    }
+    for (int sample = 0; sample < 100; ++sample) {
+      shared.latencies[route_id("sweep")].Record(
+          std::chrono::milliseconds(8 + sample % 8));
+    }
+  }
+
+  static service_id Service(int shard) {
+    return service_id("s" + std::to_string(shard));
+  }
+  static endpoint_id Endpoint(int shard, int replica) {
+    return endpoint_id("s" + std::to_string(shard) + "-" +
+                       std::to_string(replica));
+  }
+  void AddEndpoint(int shard, int replica) {
+    const endpoint_id id = Endpoint(shard, replica);
+    shared.registry.Put(now, {.id = id,
+                              .service = Service(shard),
+                              .zone = zone_id("erie"),
+                              .address = {.ip = "10.0.0.1", .port = 80},
+                              .slots = 2});
+    shared.places.SetFree(id, 2);
+  }
+  void LoseShard(int shard) {
+    for (int replica = 0; replica < kReplicas; ++replica) {
+      shared.places.OnConnectFailed(now, Endpoint(shard, replica));
+    }
+  }
+
+  static route GatherRoute() {
+    route r;
+    r.id = route_id("sweep");
+    r.host = "h";
+    r.path_prefix = "/sweep/";
+    r.repeats = repeat_rule::kIdempotent;
+    r.timeout = kTimeout;
+    r.objective = kObjective;
+    r.max_endpoints = 2;
+    gather_target target{.shards = {}, .top_k = 5, .min_coverage = 0.89};
+    for (int shard = 0; shard < kShards; ++shard) {
+      target.shards.push_back(Service(shard));
+    }
+    r.target = std::move(target);
+    return r;
+  }
+  static route RelayRoute(const std::string& id, repeat_rule repeats) {
+    route r = GatherRoute();
+    r.id = route_id(id);
+    r.path_prefix = "/" + id + "/";
+    r.repeats = repeats;
+    r.target = relay_target{{{.service = Service(0)}}};
+    return r;
+  }
+
+  void Start(const std::string& path) {
+    const route* r = table->Match("h", path);
+    run = std::make_unique<request_run>(table, *r, ServicesOf(*r), now,
+                                        now + kTimeout);
+    Take(run->Start(now, shared));
+  }
+  void Take(request_run::actions actions) {
+    for (auto& action : actions) {
+      if (auto* s = std::get_if<request_run::send>(&action)) {
+        sends.push_back(*s);
+      } else if (auto* f = std::get_if<request_run::finish>(&action)) {
+        answer = std::move(f->answer);
+      } else if (auto* w = std::get_if<request_run::wake>(&action)) {
+        wake_at = w->at;
+      }
+    }
+  }
+  void End(const request_run::send& sent, attempt_outcome outcome) {
+    Take(run->OnOutcome(now, shared, sent.attempt, std::move(outcome)));
+  }
+  void Answer(const request_run::send& sent) {
+    endpoint_replied reply;
+    reply.response.body = std::string(kRecordBytes, 'x');
+    reply.stamp = "stamp-" + sent.endpoint.value();
+    End(sent, reply);
+  }
+  void Answer(std::size_t from, std::size_t to) {
+    for (std::size_t i = from; i < to; ++i) {
+      Answer(request_run::send(sends[i]));
+    }
+  }
+  /// Lets time pass as the shell does: a tick at each wake.
+  void RunUntil(time_point until) {
+    while (!answer.has_value() && wake_at.has_value() && *wake_at <= until) {
+      now = std::max(now, *wake_at);
+      wake_at.reset();
+      Take(run->Tick(now, shared));
+    }
+    now = until;
+  }
+  template <class type>
+  const type* AnswerAs() const {
+    return answer.has_value() ? std::get_if<type>(&*answer) : nullptr;
+  }
+};
+
+}  // namespace trefoilmill
+
+#endif  // TREFOILMILL_REQUEST_RUN_FIXTURE_TEST_H_
--- /dev/null
+++ b/src/libtrefoilmill/version/store_follower_test.cc
@@ -0,0 +1,132 @@
+#define BOOST_TEST_MODULE store_follower
+#include "trefoilmill/version/store_follower.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace trefoilmill {
+namespace {
+
+using std::chrono::milliseconds;
+
+stored_object Object(const std::string& name, std::uint64_t at) {
+  return {.name = name, .at = revision(at), .content = "{}"};
+}
+
+template <class type>
+const type* Find(const store_follower::actions& actions) {
+  for (const auto& action : actions) {
+    if (const auto* found = std::get_if<type>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+struct fixture {
+  time_point now{std::chrono::seconds(1)};
+  store_follower follower{{}, std::mt19937_64(1)};
+
+  /// Runs the follower through its pause.
+  store_follower::actions Resume(const store_follower::actions& actions) {
+    const auto* wake = Find<store_follower::wake>(actions);
+    BOOST_TEST_REQUIRE(wake != nullptr);
+    now = wake->at;
+    return follower.Tick(now);
+  }
+  store_follower::actions List(std::vector<stored_object> items,
+                               std::uint64_t as_of) {
+    return follower.OnPage(now, {.items = std::move(items),
+                                 .has_more = false,
+                                 .as_of = revision(as_of)});
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(it_lists_all_pages_then_watches, fixture) {
+  follower.Start();
+  const auto more = follower.OnPage(
+      now, {.items = {Object("a", 3)}, .has_more = true, .as_of = revision(9)});
+  const auto* page = Find<store_follower::list_page>(more);
+  BOOST_TEST_REQUIRE(page != nullptr);
+  BOOST_TEST(page->after == "a");
+  const auto listed = List({Object("b", 4)}, 12);
+  BOOST_TEST(Find<store_follower::replaced>(listed) != nullptr);
+  BOOST_TEST(follower.objects().size() == 2U);
+  const auto resumed = Resume(listed);
+  const auto* watch = Find<store_follower::watch>(resumed);
+  BOOST_TEST_REQUIRE(watch != nullptr);
+  // What changed while the pages were read is watched for as well.
+  BOOST_TEST(watch->since.value() == 9U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_timer_that_fires_early_is_set_again, fixture) {
+  follower.Start();
+  const auto* wake = Find<store_follower::wake>(List({}, 5));
+  BOOST_TEST_REQUIRE(wake != nullptr);
+  const auto early = follower.Tick(now);
+  BOOST_TEST(Find<store_follower::wake>(early) != nullptr);
+  BOOST_TEST(Find<store_follower::watch>(Resume(early)) != nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(changes_apply_in_the_order_of_revisions, fixture) {
+  follower.Start();
+  Resume(List({Object("a", 3)}, 5));
+  follower.OnWatch(now, object_changes{.events = {{.object = Object("a", 7)},
+                                                  {.object = Object("b", 8)}},
+                                       .as_of = revision(8)});
+  BOOST_TEST(follower.objects().at("a").at.value() == 7U);
+  const auto stale = follower.OnWatch(
+      now, object_changes{.events = {{.object = Object("a", 6)}},
+                          .as_of = revision(8)});
+  BOOST_TEST(Find<store_follower::changed>(stale) == nullptr);
+  const auto deleted = follower.OnWatch(
+      now,
+      object_changes{.events = {{.object = Object("b", 9), .deleted = true}},
+                     .as_of = revision(9)});
+  BOOST_TEST(Find<store_follower::changed>(deleted) != nullptr);
+  BOOST_TEST(!follower.objects().contains("b"));
+}
+
+BOOST_FIXTURE_TEST_CASE(lost_history_is_listed_anew, fixture) {
+  follower.Start();
+  Resume(List({Object("a", 3)}, 5));
+  const auto gone = follower.OnWatch(now, history_gone{});
+  BOOST_TEST(Find<store_follower::list_page>(gone) != nullptr);
+  List({Object("c", 9)}, 10);
+  BOOST_TEST(!follower.objects().contains("a"));
+  BOOST_TEST(follower.objects().contains("c"));
+}
+
+BOOST_FIXTURE_TEST_CASE(pauses_after_failures_grow_to_a_bound, fixture) {
+  follower.Start();
+  duration longest{};
+  for (int failure = 0; failure < 30; ++failure) {
+    const time_point failed_at = now;
+    const auto resumed = Resume(follower.OnFailed(now));
+    BOOST_TEST(Find<store_follower::list_page>(resumed) != nullptr);
+    longest = std::max(longest, now - failed_at);
+  }
+  BOOST_TEST(longest <= store_follower::config().longest_backoff);
+  BOOST_TEST(longest >= store_follower::config().first_backoff);
+  BOOST_TEST(!follower.is_fresh());
+}
+
+// Pattern: the store turns some hosts away and serves the others.
+BOOST_FIXTURE_TEST_CASE(a_newer_copy_of_a_peer_is_taken_and_kept, fixture) {
+  follower.Start();
+  Resume(follower.OnFailed(now));
+  store_follower::copy copy{.as_of = revision(20),
+                            .objects = {Object("a", 18)}};
+  BOOST_TEST(Find<store_follower::replaced>(follower.OnCopy(copy)) != nullptr);
+  BOOST_TEST(follower.has_content());
+  copy.as_of = revision(19);
+  copy.objects.clear();
+  BOOST_TEST(follower.OnCopy(copy).empty());
+  // A list that was read before the copy was made must not undo it.
+  List({}, 15);
+  BOOST_TEST(follower.objects().contains("a"));
+  BOOST_TEST(follower.as_of().value() == 20U);
+}
+
+}  // namespace trefoilmill
