--- a/src/include/trefoilmill/process/placement.h
+++ b/src/include/trefoilmill/process/placement.h
@@ -99,10 +99,7 @@
     double excess = 0;
     time_point at;
     double Value(time_point now, duration half_life) const;
-    void Move(time_point now,
-              double sample,
-              double weight,
-              duration half_life);
+    void Move(time_point now, double sample, double weight, duration half_life);
   };
   struct observed {
     int free = 0;
@@ -114,8 +111,7 @@
     duration block{};
   };
 
-  bool IsAllowed(time_point now,
-                 const endpoint_registry::entry& entry) const;
+  bool IsAllowed(time_point now, const endpoint_registry::entry& entry) const;
   double CostOf(time_point now,
                 const endpoint_registry::entry& entry,
                 const observed& seen,
--- a/src/libtmnet/http_client.cc
+++ b/src/libtmnet/http_client.cc
@@ -61,8 +61,7 @@
   const duration left = handle->deadline - loop.Now();
   http_connection::options wanted = opts;
   wanted.connect_timeout = std::min(left, opts.connect_timeout);
-  handle->connection =
-      http_connection::Create(loop, handle->address, wanted);
+  handle->connection = http_connection::Create(loop, handle->address, wanted);
   handle->connection->Connect([this, handle](bool connected) {
     if (connected) {
       SendOn(handle);
--- a/src/libtmnet/http_connection.cc
+++ b/src/libtmnet/http_connection.cc
@@ -312,8 +312,7 @@
   response.content_type = response.Header("Content-Type").value_or("");
   response.body = CopyBuffer(evhttp_request_get_input_buffer(raw));
   // evhttp reports a connection that was reset within such a body as an error.
-  if (!HasDelimitedBody(response) &&
-      !connection->opts.accept_close_delimited) {
+  if (!HasDelimitedBody(response) && !connection->opts.accept_close_delimited) {
     connection->Finish({.failed = http_failure::kMalformed}, false);
     return;
   }
--- a/src/libtmnet/log.cc
+++ b/src/libtmnet/log.cc
@@ -3,18 +3,18 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
-#include <boost/log/sinks/unlocked_frontend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 #include <boost/shared_ptr.hpp>
-#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <iostream>
@@ -50,10 +50,9 @@
 
 /// Lines for standard output. They wait in memory until Flush() finds that the
 /// reader has room: a pipe that polls as writable takes kPipeBytes at once.
-class stdout_backend
-    : public logging::sinks::basic_formatted_sink_backend<
-          char,
-          logging::sinks::concurrent_feeding> {
+class stdout_backend : public logging::sinks::basic_formatted_sink_backend<
+                           char,
+                           logging::sinks::concurrent_feeding> {
  public:
   void consume(const logging::record_view&, const std::string& line) {
     if (waiting_.size() + line.size() > kMaxWaitingBytes) {
--- a/src/libtmwire/copy_codec.cc
+++ b/src/libtmwire/copy_codec.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "bounded_cbor.h"
 #include "object_reader.h"
 #include "wire_json.h"
 
@@ -30,8 +31,7 @@
 }
 
 result<store_follower::copy> DecodeCopy(const std::string& bytes) {
-  const json whole = json::from_cbor(bytes, /*strict=*/true,
-                                     /*allow_exceptions=*/false);
+  const json whole = ParseBoundedCbor(bytes);
   if (!whole.is_array() || whole.size() != 2 ||
       !whole[0].is_number_unsigned() || !whole[1].is_array()) {
     return Malformed(reason_code::kBadRequest, "not a copy of objects");
--- a/src/libtmwire/entry_settings_codec.cc
+++ b/src/libtmwire/entry_settings_codec.cc
@@ -49,9 +49,9 @@
     return;
   }
   for (const json& seed : *seeds) {
-    const auto address =
-        seed.is_string() ? ParseSocketAddress(seed.get<std::string>())
-                         : std::nullopt;
+    const auto address = seed.is_string()
+                             ? ParseSocketAddress(seed.get<std::string>())
+                             : std::nullopt;
     if (address.has_value()) {
       out.push_back(address->ip);
     } else {
--- a/src/libtmwire/wire_json.cc
+++ b/src/libtmwire/wire_json.cc
@@ -1,10 +1,10 @@
 #include "wire_json.h"
 
-#include "object_reader.h"
-
 #include <charconv>
 #include <utility>
 
+#include "object_reader.h"
+
 namespace trefoilmill {
 namespace {
 
--- a/src/libtrefoilmill/process/extra_send_budget.cc
+++ b/src/libtrefoilmill/process/extra_send_budget.cc
@@ -41,8 +41,7 @@
   const std::chrono::duration<double> window = bound_.window;
   const double per_window = std::max(0.0, SlackShare() - cap());
   held.refilled = now;
-  held.balance =
-      std::min(cap(), held.balance + per_window * (passed / window));
+  held.balance = std::min(cap(), held.balance + per_window * (passed / window));
   return held;
 }
 
--- a/src/libtrefoilmill/process/placement.cc
+++ b/src/libtrefoilmill/process/placement.cc
@@ -92,7 +92,8 @@
                          const observed& seen,
                          duration expected) const {
   double slowness = 1 + seen.slowness.Value(now, kSlownessHalfLife);
-  const double usual = std::max<double>(1, static_cast<double>(expected.count()));
+  const double usual =
+      std::max<double>(1, static_cast<double>(expected.count()));
   if (!seen.in_flight.empty()) {
     const duration waited = now - seen.in_flight.begin()->second;
     const double ratio = static_cast<double>(waited.count()) / usual;
@@ -122,7 +123,8 @@
   std::vector<candidate> cold;
   for (const endpoint_id& id : registry.OfService(service)) {
     const endpoint_registry::entry& entry = *registry.Find(id);
-    if (!IsAllowed(now, entry) || std::ranges::find(excluded, id) != excluded.end()) {
+    if (!IsAllowed(now, entry) ||
+        std::ranges::find(excluded, id) != excluded.end()) {
       continue;
     }
     usable = true;
@@ -178,7 +180,8 @@
   }
   const auto latency = static_cast<double>((now - sent->second).count());
   seen.in_flight.erase(sent);
-  const double usual = std::max<double>(1, static_cast<double>(expected.count()));
+  const double usual =
+      std::max<double>(1, static_cast<double>(expected.count()));
   const double ratio = std::min(kMaxSlownessSample, latency / usual);
   if (how == send_end::kAnswered) {
     seen.slowness.Move(now, ratio - 1, kSlownessWeight, kSlownessHalfLife);
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -212,8 +212,9 @@
 
 bool request_run::MayTryAgain(const shard& s) const {
   const auto limit = static_cast<std::size_t>(route_->max_endpoints);
-  return s.tried.size() < limit && (s.worst == verdict::kNotRun ||
-                                    route_->repeats == repeat_rule::kIdempotent);
+  return s.tried.size() < limit &&
+         (s.worst == verdict::kNotRun ||
+          route_->repeats == repeat_rule::kIdempotent);
 }
 
 void request_run::Retry(time_point now,
@@ -289,8 +290,8 @@
     }
     s.hedged = true;
     const auto choice = shared.places.Choose(
-        now, shared.registry, s.service, s.tried,
-        UsualLatency(shared, *route_), placement::purpose::kHedge);
+        now, shared.registry, s.service, s.tried, UsualLatency(shared, *route_),
+        placement::purpose::kHedge);
     const auto* chosen = std::get_if<placement::chosen>(&choice);
     if (chosen == nullptr) {
       continue;
@@ -311,8 +312,8 @@
 }
 
 double request_run::ReachableCoverage() const {
-  const auto lost = std::ranges::count_if(
-      shards_, [](const shard& s) { return s.given_up; });
+  const auto lost =
+      std::ranges::count_if(shards_, [](const shard& s) { return s.given_up; });
   return 1.0 - static_cast<double>(lost) / static_cast<double>(shards_.size());
 }
 
@@ -349,8 +350,7 @@
   }
   const bool settled =
       std::ranges::none_of(shards_, [](const shard& s) { return s.open(); });
-  const bool enough =
-      counts_.answered > 0 && Coverage() >= target.min_coverage;
+  const bool enough = counts_.answered > 0 && Coverage() >= target.min_coverage;
   // Past the objective a whole answer is worth waiting for about as long again.
   const time_point patience = objective_ + route_->objective;
   const bool in_time = now < patience && now >= objective_;
@@ -396,8 +396,8 @@
   });
   // At the start sends are planned but not made.
   if (starting_ || !ran) {
-    const duration after = reason == reason_code::kShed ? kShedRetryAfter
-                                                        : kNoEndpointRetryAfter;
+    const duration after =
+        reason == reason_code::kShed ? kShedRetryAfter : kNoEndpointRetryAfter;
     Finish(refused_answer{.reason = reason, .retry_after = after}, out);
     return;
   }
--- a/src/libtrefoilmill/request/request_run_fixture_test.h
+++ b/src/libtrefoilmill/request/request_run_fixture_test.h
@@ -18,11 +18,10 @@
   static constexpr duration kTimeout = std::chrono::milliseconds(600);
 
   time_point now{std::chrono::seconds(1)};
-  traffic shared{
-      .registry = endpoint_registry(std::chrono::milliseconds(2200)),
-      .places = placement(zone_id("erie"), std::mt19937_64(3)),
-      .extra_sends = extra_send_budget({.ratio = 0.2, .slack = 60}),
-      .latencies = {}};
+  traffic shared{.registry = endpoint_registry(std::chrono::milliseconds(2200)),
+                 .places = placement(zone_id("erie"), std::mt19937_64(3)),
+                 .extra_sends = extra_send_budget({.ratio = 0.2, .slack = 60}),
+                 .latencies = {}};
   std::shared_ptr<const route_table> table;
   std::unique_ptr<request_run> run;
   std::vector<request_run::send> sends;
@@ -36,7 +35,8 @@
       }
     }
     routing_config config;
-    config.routes = {GatherRoute(), RelayRoute("read", repeat_rule::kIdempotent),
+    config.routes = {GatherRoute(),
+                     RelayRoute("read", repeat_rule::kIdempotent),
                      RelayRoute("book", repeat_rule::kAtMostOnce)};
     table = route_table::Create(std::move(config)).value();
     // A budget as after some traffic.
--- a/src/libtrefoilmill/version/route_table.cc
+++ b/src/libtrefoilmill/version/route_table.cc
@@ -82,7 +82,8 @@
     if (slash == std::string_view::npos) {
       return nullptr;
     }
-    const auto match = found->second.find(std::string(path.substr(0, slash + 1)));
+    const auto match =
+        found->second.find(std::string(path.substr(0, slash + 1)));
     if (match != found->second.end()) {
       return match->second;
     }
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -112,8 +112,8 @@
 store_follower::actions store_follower::OnFailed(time_point now) {
   const int doublings = std::min(failures_, kMaxDoublings);
   ++failures_;
-  const duration length =
-      std::min(config_.longest_backoff, config_.first_backoff * (1 << doublings));
+  const duration length = std::min(config_.longest_backoff,
+                                   config_.first_backoff * (1 << doublings));
   return {Pause(now, length)};
 }
 
--- a/src/trefoilmill_entry/endpoint_links.cc
+++ b/src/trefoilmill_entry/endpoint_links.cc
@@ -184,8 +184,8 @@
   };
   const auto done = std::exchange(l->done, nullptr);
   carrying_.erase(found);
-  const auto pool_at =
-      std::ranges::find_if(pools_, [&](const auto& e) { return holds(e.second); });
+  const auto pool_at = std::ranges::find_if(
+      pools_, [&](const auto& e) { return holds(e.second); });
   const auto retired = std::ranges::find_if(retiring_, holds);
   if (pool_at != pools_.end()) {
     Drop(*pool_at->second, *l);
@@ -246,8 +246,8 @@
     std::vector<link*> expired;
     for (const auto& l : p->links) {
       const bool idle = !l->connecting && !l->busy;
-      const bool surplus = static_cast<int>(p->links.size() - expired.size()) >
-                           p->most;
+      const bool surplus =
+          static_cast<int>(p->links.size() - expired.size()) > p->most;
       if (idle && (now - l->idle_since > longest || surplus)) {
         expired.push_back(l.get());
       }
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -57,8 +57,8 @@
 
 traffic MakeTraffic(const entry_settings& settings) {
   return {.registry = endpoint_registry(ForgetAfter(settings)),
-          .places = placement(settings.zone,
-                              std::mt19937_64(std::random_device()())),
+          .places =
+              placement(settings.zone, std::mt19937_64(std::random_device()())),
           .extra_sends = extra_send_budget(settings.extra_sends),
           .latencies = {}};
 }
@@ -96,9 +96,9 @@
   made->links_ = std::make_unique<endpoint_links>(
       loop, settings.callers.ip, made->shared_.places, made->trace_,
       [self](const endpoint_id& id) { self->requests_->OnFree(id); });
-  made->requests_ = std::make_unique<request_task>(
-      loop, made->shared_, *made->links_, made->trace_,
-      std::mt19937_64(random()));
+  made->requests_ =
+      std::make_unique<request_task>(loop, made->shared_, *made->links_,
+                                     made->trace_, std::mt19937_64(random()));
   made->store_ = std::make_unique<store_task>(
       loop, settings.store, settings.callers.ip, made->trace_,
       store_task::events{
@@ -113,8 +113,8 @@
     return listening.error();
   }
   auto peers = peer_task::Create(
-      loop, settings, *made->store_, made->trace_,
-      [self] { self->ShareOut(); }, std::mt19937_64(random()));
+      loop, settings, *made->store_, made->trace_, [self] { self->ShareOut(); },
+      std::mt19937_64(random()));
   if (!peers.has_value()) {
     return peers.error();
   }
@@ -218,8 +218,7 @@
 }
 
 void entry_process::AdoptConfiguration() {
-  const auto& objects =
-      store_->Follower(object_kind::kConfiguration).objects();
+  const auto& objects = store_->Follower(object_kind::kConfiguration).objects();
   const auto found = objects.find(platform::kConfigurationName);
   if (found == objects.end()) {
     return;
@@ -232,8 +231,8 @@
                        .detail = decoded.error().detail});
     return;
   }
-  const bool older = table_ != nullptr &&
-                     decoded.value().version <= table_->config().version;
+  const bool older =
+      table_ != nullptr && decoded.value().version <= table_->config().version;
   if (older) {
     return;
   }
@@ -250,8 +249,9 @@
   trace_.log->Info(
       "configuration in force",
       {.at = found->second.at,
-       .inputs = {{"version", static_cast<std::int64_t>(config.version.value())},
-                  {"routes", static_cast<std::int64_t>(config.routes.size())}}});
+       .inputs = {
+           {"version", static_cast<std::int64_t>(config.version.value())},
+           {"routes", static_cast<std::int64_t>(config.routes.size())}}});
   trace_.values->Set(metric::kConfigurationVersion,
                      static_cast<double>(config.version.value()));
   callers_->SetLimits(config.callers.max_header_bytes,
@@ -290,8 +290,7 @@
 
 void entry_process::AdoptEndpoints() {
   std::vector<endpoint_record> records;
-  for (const stored_object& object :
-       std::views::values(
+  for (const stored_object& object : std::views::values(
            store_->Follower(object_kind::kEndpoints).objects())) {
     auto record = platform::DecodeEndpoint(object);
     if (record.has_value()) {
@@ -402,8 +401,8 @@
     return;
   }
   std::vector<socket_address> addresses;
-  std::ranges::transform(peers_->ServingHosts(),
-                         std::back_inserter(addresses), &host_record::callers);
+  std::ranges::transform(peers_->ServingHosts(), std::back_inserter(addresses),
+                         &host_record::callers);
   if (addresses.empty()) {
     responder.Send({.status = 503});
     return;
@@ -430,8 +429,7 @@
 }
 
 void entry_process::Reload() {
-  auto parsed =
-      ParseEntrySettings(Slurp(settings_file_), settings_file_);
+  auto parsed = ParseEntrySettings(Slurp(settings_file_), settings_file_);
   for (const auto& error : parsed.errors) {
     trace_.log->Error("settings refused; the last good ones stay",
                       {.detail = ToString(error)});
--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -35,8 +35,8 @@
 }
 
 revision DigestOf(const member& m, object_kind kind) {
-  const auto found = std::ranges::find(m.documents, DigestName(kind),
-                                       &document_digest::id);
+  const auto found =
+      std::ranges::find(m.documents, DigestName(kind), &document_digest::id);
   return found == m.documents.end() ? revision() : found->in_force;
 }
 
@@ -60,9 +60,9 @@
                    .peer = settings.peers,
                    .callers = settings.callers,
                    .administration = settings.peers};
-  auto members = membership::Create(loop.Now(), self,
-                                    incarnation(loop.WallMicros()),
-                                    MembershipConfig(), random);
+  auto members =
+      membership::Create(loop.Now(), self, incarnation(loop.WallMicros()),
+                         MembershipConfig(), random);
   if (!members.has_value()) {
     return members.error();
   }
@@ -277,9 +277,8 @@
 }
 
 void peer_task::Fetch(object_kind kind, const socket_address& from) {
-  const http_request request{
-      .method = "GET",
-      .path = kCopiesPath + std::string(ToString(kind))};
+  const http_request request{.method = "GET",
+                             .path = kCopiesPath + std::string(ToString(kind))};
   client_.Send(from, request, kFetchTimeout, [this, kind](http_exchange ended) {
     if (!ended.response.has_value() || ended.response->status != 200) {
       trace_.log->Info("copy from a peer failed",
@@ -288,9 +287,9 @@
     }
     auto copy = DecodeCopy(ended.response->body);
     if (!copy.has_value()) {
-      trace_.log->Warning("copy from a peer refused",
-                          {.document = DigestName(kind),
-                           .detail = copy.error().detail});
+      trace_.log->Warning(
+          "copy from a peer refused",
+          {.document = DigestName(kind), .detail = copy.error().detail});
       return;
     }
     store_.OfferCopy(kind, std::move(copy.value()));
--- a/src/trefoilmill_entry/request_task.cc
+++ b/src/trefoilmill_entry/request_task.cc
@@ -74,12 +74,12 @@
                           duration retry_after) {
   trace_.values->Count(metric::kCallerRequests, {"refused"});
   trace_.values->Count(metric::kRefusals, {ToString(reason), "not_run"});
-  trace_.log->Info("request refused before it was routed",
-                   {.request = id,
-                    .reason = reason,
-                    .inputs = {{"loop_delay_us", loop_delay_.count()},
-                               {"unanswered",
-                                static_cast<std::int64_t>(unanswered_)}}});
+  trace_.log->Info(
+      "request refused before it was routed",
+      {.request = id,
+       .reason = reason,
+       .inputs = {{"loop_delay_us", loop_delay_.count()},
+                  {"unanswered", static_cast<std::int64_t>(unanswered_)}}});
   responder.Send(platform::RefusalToCaller(reason, retry_after));
 }
 
@@ -105,15 +105,14 @@
     Refuse(responder, caller.id, reason_code::kOverloaded, kOverloadRetryAfter);
     return;
   }
-  const time_point deadline =
-      now + caller.time_left.value_or(matched->timeout);
+  const time_point deadline = now + caller.time_left.value_or(matched->timeout);
   const run_number number = ++last_run_;
   auto made = std::make_unique<live>(live{
       .id = caller.id,
       .original = std::move(request),
       .responder = responder,
-      .run = request_run(table_, *matched, DrawServices(*matched), now,
-                         deadline),
+      .run =
+          request_run(table_, *matched, DrawServices(*matched), now, deadline),
       .arrived = now});
   live& r = *made;
   runs_.emplace(number, std::move(made));
@@ -248,8 +247,8 @@
     queue.pop_front();
     const auto run = runs_.find(next.run);
     if (run != runs_.end() && !run->second->run.finished()) {
-      Apply(next.run, run->second->run.OnCapacity(loop_.Now(), shared_,
-                                                  next.shard));
+      Apply(next.run,
+            run->second->run.OnCapacity(loop_.Now(), shared_, next.shard));
       EraseIfOver(next.run);
       return;
     }
@@ -334,7 +333,9 @@
   if (ordinary && took <= r.run.matched().objective) {
     return;
   }
-  const auto number = [](std::size_t n) { return static_cast<std::int64_t>(n); };
+  const auto number = [](std::size_t n) {
+    return static_cast<std::int64_t>(n);
+  };
   trace_.log->Info(
       "request ended late or incomplete",
       {.request = r.id,
--- a/src/trefoilmill_entry/request_task.h
+++ b/src/trefoilmill_entry/request_task.h
@@ -56,7 +56,9 @@
               duration retry_after);
   void Apply(run_number number, request_run::actions actions);
   void Do(run_number number, live& r, const request_run::send& action);
-  void Do(run_number number, live& r, const request_run::await_capacity& action);
+  void Do(run_number number,
+          live& r,
+          const request_run::await_capacity& action);
   void Do(run_number number, live& r, request_run::finish& action);
   void Do(run_number number, live& r, const request_run::wake& action);
   void OnAttemptEnd(run_number number, attempt_id attempt, http_exchange ended);
--- a/src/trefoilmill_entry/store_task.cc
+++ b/src/trefoilmill_entry/store_task.cc
@@ -48,10 +48,9 @@
               {.max_body_bytes = kMaxReplyBytes,
                .dead_peer_timeout = kDeadPeerTimeout}) {
   for (const object_kind kind : kObjectKinds) {
-    followed_.emplace(kind,
-                      std::make_unique<followed>(followed{
-                          .kind = kind,
-                          .follower = store_follower({}, Fork(random))}));
+    followed_.emplace(
+        kind, std::make_unique<followed>(followed{
+                  .kind = kind, .follower = store_follower({}, Fork(random))}));
   }
 }
 
@@ -91,43 +90,40 @@
                    Failed(f, page.error());
                    return;
                  }
-                 Apply(f, f.follower.OnPage(loop_.Now(),
-                                            std::move(page.value())));
+                 Apply(f,
+                       f.follower.OnPage(loop_.Now(), std::move(page.value())));
                });
 }
 
 void store_task::Do(followed& f, const store_follower::watch& action) {
-  client_.Send(store_,
-               platform::WatchRequest(f.kind, action.since, action.wait),
-               action.wait + kWatchGrace, [this, &f](http_exchange ended) {
-                 NoteReachable(ended.response.has_value(), "watch");
-                 if (!ended.response.has_value()) {
-                   Failed(f, {});
-                   return;
-                 }
-                 auto changes = platform::ParseChanges(*ended.response);
-                 if (!changes.has_value()) {
-                   Failed(f, changes.error());
-                   return;
-                 }
-                 Apply(f, f.follower.OnWatch(loop_.Now(),
-                                             std::move(changes.value())));
-               });
+  client_.Send(
+      store_, platform::WatchRequest(f.kind, action.since, action.wait),
+      action.wait + kWatchGrace, [this, &f](http_exchange ended) {
+        NoteReachable(ended.response.has_value(), "watch");
+        if (!ended.response.has_value()) {
+          Failed(f, {});
+          return;
+        }
+        auto changes = platform::ParseChanges(*ended.response);
+        if (!changes.has_value()) {
+          Failed(f, changes.error());
+          return;
+        }
+        Apply(f, f.follower.OnWatch(loop_.Now(), std::move(changes.value())));
+      });
 }
 
 void store_task::Do(followed& f, const store_follower::wake& action) {
-  f.wake = loop_.After(action.at - loop_.Now(), [this, &f] {
-    Apply(f, f.follower.Tick(loop_.Now()));
-  });
+  f.wake = loop_.After(action.at - loop_.Now(),
+                       [this, &f] { Apply(f, f.follower.Tick(loop_.Now())); });
 }
 
 void store_task::Do(followed& f, const store_follower::replaced& /*action*/) {
-  trace_.log->Info(
-      "objects learned anew",
-      {.document = document_id(std::string(ToString(f.kind))),
-       .at = f.follower.as_of(),
-       .inputs = {{"objects", static_cast<std::int64_t>(
-                                  f.follower.objects().size())}}});
+  trace_.log->Info("objects learned anew",
+                   {.document = document_id(std::string(ToString(f.kind))),
+                    .at = f.follower.as_of(),
+                    .inputs = {{"objects", static_cast<std::int64_t>(
+                                               f.follower.objects().size())}}});
   on_.replaced(f.kind);
 }
 
