Connections: subsets where hosts outnumber them; a pause after an unused close

Each host now leaves out replicas by rendezvous hashing, and a connection that was closed before it carried a reply is followed by a pause.

--- a/src/trefoilmill_entry/endpoint_links.cc
+++ b/src/trefoilmill_entry/endpoint_links.cc
@@ -16,6 +16,10 @@
 /// Assumed while an endpoint does not say how long it keeps connections.
 constexpr duration kUnstatedIdleTimeout = std::chrono::seconds(30);
 constexpr std::size_t kMaxReplyBytes = 4 << 20;
+/// Pauses before a new attempt after the endpoint closed a connection unused:
+/// it has more connections than it accepts.
+constexpr duration kFirstReopenPause = std::chrono::milliseconds(250);
+constexpr duration kLongestReopenPause = std::chrono::seconds(4);
 
 }  // namespace
 
@@ -23,6 +27,8 @@
   std::unique_ptr<http_connection> connection;
   bool connecting = true;
   bool busy = false;
+  /// Has carried a reply.
+  bool proven = false;
   time_point idle_since;
   attempt_id attempt;
   http_connection::on_reply done;
@@ -35,6 +41,7 @@
   bool removed = false;
   duration idle_timeout = kUnstatedIdleTimeout;
   time_point reopen_at;
+  duration reopen_pause{};
   std::vector<std::unique_ptr<link>> links;
 
   auto Idle() {
@@ -119,12 +126,21 @@
     return;
   }
   l.idle_since = loop_.Now();
-  l.connection->OnClosed([this, &p, &l] { Drop(p, l); });
+  l.connection->OnClosed([this, &p, &l] { OnClosedByPeer(p, l); });
   places_.OnConnected(p.id);
   Publish(p);
   on_free_(p.id);
 }
 
+void endpoint_links::OnClosedByPeer(pool& p, const link& l) {
+  if (!l.proven) {
+    p.reopen_pause =
+        std::clamp(p.reopen_pause * 2, kFirstReopenPause, kLongestReopenPause);
+    p.reopen_at = loop_.Now() + p.reopen_pause;
+  }
+  Drop(p, l);
+}
+
 bool endpoint_links::Send(const endpoint_id& id,
                           attempt_id attempt,
                           const http_request& request,
@@ -157,14 +173,18 @@
   l.busy = false;
   l.idle_since = loop_.Now();
   if (exchange.response.has_value()) {
+    l.proven = true;
+    p.reopen_pause = duration::zero();
     if (const auto timeout = platform::IdleTimeoutOf(*exchange.response)) {
       p.idle_timeout = *timeout;
     }
   }
   const auto done = std::exchange(l.done, nullptr);
   const endpoint_id id = p.id;
-  if (p.removed || !l.connection->connected()) {
+  if (p.removed) {
     Drop(p, l);
+  } else if (!l.connection->connected()) {
+    OnClosedByPeer(p, l);
   } else {
     Publish(p);
   }
--- a/src/trefoilmill_entry/endpoint_links.h
+++ b/src/trefoilmill_entry/endpoint_links.h
@@ -58,6 +58,7 @@
   void Open(pool& p);
   void OnConnected(pool& p, link& l, bool connected);
   void OnReply(pool& p, link& l, http_exchange exchange);
+  void OnClosedByPeer(pool& p, const link& l);
   void Drop(pool& p, const link& l);
   void Publish(pool& p);
   void EnsureSpare(pool& p);
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -11,6 +11,7 @@
 #include "platform/documents.h"
 #include "platform/headers.h"
 #include "platform/http_dialect.h"
+#include "trefoilmill/connection/connection_share.h"
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill/wire/entry_settings_codec.h"
 
@@ -28,11 +29,6 @@
 constexpr duration kDirectoryTtl = std::chrono::seconds(1);
 /// Addresses in one answer, at most.
 constexpr std::size_t kMaxAddresses = 64;
-/// Part of an endpoint's connections that all hosts share; the rest is room for
-/// hosts that restart or that others have not heard of yet.
-constexpr double kConnectionShare = 0.8;
-/// Connections to one endpoint, at most: more than its slots are of no use.
-constexpr int kConnectionsPerSlot = 1;
 /// Before the end of the grace time: stop taking requests, and end in any case.
 constexpr duration kStopTakingBefore = std::chrono::milliseconds(1500);
 constexpr duration kEndBefore = std::chrono::milliseconds(300);
@@ -348,17 +344,21 @@
   for (const auto& change : changes) {
     std::visit(visitor{*this}, change);
   }
+  if (!changes.empty()) {
+    ShareOut();
+  }
 }
 
 int entry_process::MostConnections(const endpoint_record& record) const {
   if (table_ == nullptr) {
-    return 1;
-  }
-  const double hosts = static_cast<double>(peers_->CountedHosts());
-  const double all =
-      kConnectionShare * table_->RulesOf(record.service).max_connections;
-  const int share = std::max(1, static_cast<int>(all / hosts));
-  return std::min(share, record.slots * kConnectionsPerSlot + 1);
+    return 0;
+  }
+  return ConnectionShare(
+      settings_.host, peers_->CountedHosts(),
+      {.replicas = shared_.registry.OfService(record.service),
+       .endpoint = record.id,
+       .max_connections = table_->RulesOf(record.service).max_connections,
+       .slots = record.slots});
 }
 
 void entry_process::ShareOut() {
