Two hosts of a zone watch the store and feed the others; hedges at small shares

Hosts that are not chosen to watch are fed by datagrams within their zone, watch by themselves after 1.5 to 2.5 s without a fresh feed, and fetch a copy where a feed leaves a gap. A small share of the slack may be saved up whole.

--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -169,6 +169,31 @@
 };
 /// @}
 
+/// @name News from the platform's store, passed on within a zone
+/// @{
+/// One changed object.
+struct fed_object {
+  std::string name;
+  revision at;
+  std::string content;
+  bool deleted = false;
+};
+
+/// Sent by the hosts that watch the store: regularly, as a sign that they still
+/// reach it, and at once when objects changed.
+struct store_feed {
+  /// The sender's calls to the store are answered.
+  bool fresh = false;
+  /// When each kind of object last changed, as far as the sender knows.
+  std::vector<document_digest> documents;
+  /// The kind that `changes` are of; empty without changes.
+  document_id kind;
+  /// The changes follow on a copy that shows at least this revision.
+  revision from;
+  std::vector<fed_object> changes;
+};
+/// @}
+
 using peer_message = std::variant<hello_message,
                                   ping_message,
                                   ack_message,
@@ -179,7 +204,8 @@
                                   shard_query_message,
                                   shard_reply_message,
                                   hedge_started_message,
-                                  shard_cancel_message>;
+                                  shard_cancel_message,
+                                  store_feed>;
 
 }  // namespace trefoilmill
 
--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -68,6 +68,13 @@
   /// The call under way had no usable answer.
   actions OnFailed(time_point now);
   actions Tick(time_point now);
+  /// Whether this host watches the store by itself. What is under way goes on.
+  actions SetWatching(bool watching);
+  /// Lists everything anew, unless a call is under way.
+  actions Relist();
+  /// A peer passed changes on, which follow on a copy that shows `from`.
+  /// Nothing is taken if this host's copy is older than that.
+  actions OnFedChanges(revision from, object_changes changes);
   /// A peer's copy arrived. Taken if it shows a later revision of the store.
   actions OnCopy(copy peer);
 
@@ -76,6 +83,8 @@
   /// Whether the last call to the store succeeded.
   bool is_fresh() const { return failures_ == 0 && listed_; }
   revision as_of() const { return as_of_; }
+  /// The revision of the store by which the content last changed.
+  revision changed_at() const { return changed_at_; }
   const std::map<std::string, stored_object>& objects() const {
     return objects_;
   }
@@ -84,7 +93,9 @@
  private:
   enum class stage { kIdle, kListing, kWatching, kPausing };
 
-  action Next();
+  actions Next();
+  void Adopt(std::vector<stored_object> objects, revision as_of, actions& out);
+  void ApplyEvents(std::vector<object_event> events, actions& out);
   action Pause(time_point now, duration length);
 
   config config_;
@@ -95,6 +106,8 @@
   bool listed_ = false;
   int failures_ = 0;
   revision as_of_;
+  revision changed_at_;
+  bool watching_ = true;
   std::map<std::string, stored_object> objects_;
   /// Items of the list so far, and the revision of its first page.
   std::vector<stored_object> page_items_;
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -229,6 +229,10 @@
            r.held, r.instance, r.payload);
   } else if constexpr (kIs<shard_reply_message, record>) {
     fields(r.request, r.replies, r.loads);
+  } else if constexpr (kIs<fed_object, record>) {
+    fields(r.name, r.at, r.content, r.deleted);
+  } else if constexpr (kIs<store_feed, record>) {
+    fields(r.fresh, r.documents, r.kind, r.from, r.changes);
   } else if constexpr (kIs<hedge_started_message, record>) {
     fields(r.request, r.attempt);
   } else {
--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -41,12 +41,32 @@
   BOOST_TEST(!got.shards[1].hedge_of.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_feed_round_trips) {
+  const store_feed sent{.fresh = true,
+                        .documents = {{document_id("endpoints"), revision(9)}},
+                        .kind = document_id("endpoints"),
+                        .from = revision(7),
+                        .changes = {{.name = "i-1",
+                                     .at = revision(9),
+                                     .content = "{}",
+                                     .deleted = true}}};
+  const auto frame = DecodePeerFrame(EncodePeerFrame({.message = sent}));
+  BOOST_REQUIRE(frame.has_value());
+  const auto& got = std::get<store_feed>(frame.value().message);
+  BOOST_TEST(got.fresh);
+  BOOST_TEST((got.documents == sent.documents));
+  BOOST_TEST((got.from == revision(7)));
+  BOOST_REQUIRE(got.changes.size() == 1U);
+  BOOST_TEST(got.changes[0].name == "i-1");
+  BOOST_TEST(got.changes[0].deleted);
+}
+
 BOOST_AUTO_TEST_CASE(every_kind_round_trips) {
   const std::vector<peer_message> messages = {
-      hello_message{},         ping_message{},        ack_message{},
-      ping_request_message{},  announce_message{},    document_request{},
-      document_body{},         shard_query_message{}, shard_reply_message{},
-      hedge_started_message{}, shard_cancel_message{}};
+      hello_message{},         ping_message{},         ack_message{},
+      ping_request_message{},  announce_message{},     document_request{},
+      document_body{},         shard_query_message{},  shard_reply_message{},
+      hedge_started_message{}, shard_cancel_message{}, store_feed{}};
   BOOST_TEST(messages.size() == std::variant_size_v<peer_message>);
   for (const auto& message : messages) {
     const auto frame = DecodePeerFrame(EncodePeerFrame({.message = message}));
--- a/src/libtrefoilmill/process/extra_send_budget.cc
+++ b/src/libtrefoilmill/process/extra_send_budget.cc
@@ -9,6 +9,8 @@
 /// Part of the ratio that is handed out; the rest covers requests that are
 /// counted in another window than their extra sends.
 constexpr double kRatioShare = 0.85;
+/// A host's share of the slack up to which it may save up all of it.
+constexpr double kUndividedShare = 3;
 /// Part of the slack that is handed out.
 constexpr double kSlackShare = 0.8;
 
@@ -22,7 +24,8 @@
 }
 
 double extra_send_budget::cap() const {
-  return std::max(1.0, SlackShare() / 2);
+  const double share = SlackShare();
+  return std::max({1.0, share / 2, std::min(share, kUndividedShare)});
 }
 
 double extra_send_budget::SlackShare() const {
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -296,7 +296,8 @@
     if (chosen == nullptr) {
       continue;
     }
-    const double reserve = kRetryReserve * shared.extra_sends.cap();
+    const double reserve =
+        kRetryReserve * std::max(0.0, shared.extra_sends.cap() - 1);
     if (!shared.extra_sends.TrySpend(now, s.service, reserve)) {
       ++counts_.budget_refusals;
       continue;
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -33,16 +33,28 @@
     : config_(settings), random_(random) {}
 
 store_follower::actions store_follower::Start() {
-  return {Next()};
+  return Next();
 }
 
-store_follower::action store_follower::Next() {
+store_follower::actions store_follower::Next() {
+  if (listed_ && !watching_) {
+    stage_ = stage::kIdle;
+    return {};
+  }
   if (listed_) {
     stage_ = stage::kWatching;
-    return watch{.since = as_of_, .wait = config_.watch_wait};
+    return {watch{.since = as_of_, .wait = config_.watch_wait}};
   }
   stage_ = stage::kListing;
-  return list_page{.after = after_};
+  return {list_page{.after = after_}};
+}
+
+store_follower::actions store_follower::SetWatching(bool watching) {
+  watching_ = watching;
+  if (watching && listed_ && stage_ == stage::kIdle) {
+    return Next();
+  }
+  return {};
 }
 
 store_follower::action store_follower::Pause(time_point now, duration length) {
@@ -63,36 +75,72 @@
   std::ranges::move(page.items, std::back_inserter(page_items_));
   if (page.has_more && !page_items_.empty()) {
     after_ = page_items_.back().name;
-    return {Next()};
+    return Next();
   }
   after_.clear();
   listed_ = true;
   actions out;
   // A peer may have shown a later revision while the list was read.
   if (pages_as_of_ >= as_of_) {
-    as_of_ = pages_as_of_;
-    objects_.clear();
-    for (stored_object& object : page_items_) {
-      objects_.insert_or_assign(object.name, object);
-    }
-    out.emplace_back(replaced{});
+    Adopt(std::exchange(page_items_, {}), pages_as_of_, out);
   }
   page_items_.clear();
   out.push_back(Pause(now, config_.settle));
   return out;
 }
 
+// A list that shows nothing new leaves the revision of the last change, so that
+// peers need not fetch it.
+void store_follower::Adopt(std::vector<stored_object> objects,
+                           revision as_of,
+                           actions& out) {
+  const bool first = !has_content();
+  std::map<std::string, stored_object> listed;
+  for (stored_object& object : objects) {
+    std::string name = object.name;
+    listed.insert_or_assign(std::move(name), std::move(object));
+  }
+  as_of_ = as_of;
+  if (!first && listed == objects_) {
+    return;
+  }
+  objects_ = std::move(listed);
+  changed_at_ = as_of;
+  out.emplace_back(replaced{});
+}
+
+store_follower::actions store_follower::Relist() {
+  if (stage_ != stage::kIdle) {
+    return {};
+  }
+  listed_ = false;
+  return Next();
+}
+
 store_follower::actions store_follower::OnWatch(time_point now,
                                                 watch_result result) {
   failures_ = 0;
   if (std::holds_alternative<history_gone>(result)) {
     listed_ = false;
     after_.clear();
-    return {Next()};
+    return Next();
   }
   auto& changes = std::get<object_changes>(result);
   actions out;
-  for (object_event& event : changes.events) {
+  const bool news = !changes.events.empty();
+  ApplyEvents(std::move(changes.events), out);
+  as_of_ = std::max(as_of_, changes.as_of);
+  if (news) {
+    changed_at_ = as_of_;
+    out.push_back(Pause(now, config_.settle));
+    return out;
+  }
+  return Next();
+}
+
+void store_follower::ApplyEvents(std::vector<object_event> events,
+                                 actions& out) {
+  for (object_event& event : events) {
     const auto held = objects_.find(event.object.name);
     if (held != objects_.end() && held->second.at > event.object.at) {
       continue;
@@ -104,8 +152,17 @@
     }
     out.emplace_back(changed{std::move(event)});
   }
-  as_of_ = std::max(as_of_, changes.as_of);
-  out.push_back(changes.events.empty() ? Next() : Pause(now, config_.settle));
+}
+
+store_follower::actions store_follower::OnFedChanges(revision from,
+                                                     object_changes changes) {
+  if (!has_content() || as_of_ < from || changes.as_of <= as_of_) {
+    return {};
+  }
+  actions out;
+  ApplyEvents(std::move(changes.events), out);
+  as_of_ = changes.as_of;
+  changed_at_ = as_of_;
   return out;
 }
 
@@ -125,23 +182,20 @@
     // Timers may fire a little early.
     return {wake{resume_at_}};
   }
-  return {Next()};
+  return Next();
 }
 
 store_follower::actions store_follower::OnCopy(copy peer) {
   if (peer.as_of <= as_of_) {
     return {};
   }
-  as_of_ = peer.as_of;
-  objects_.clear();
-  for (stored_object& object : peer.objects) {
-    objects_.insert_or_assign(object.name, object);
-  }
-  return {replaced{}};
+  actions out;
+  Adopt(std::move(peer.objects), peer.as_of, out);
+  return out;
 }
 
 store_follower::copy store_follower::Copy() const {
-  copy out{.as_of = as_of_, .objects = {}};
+  copy out{.as_of = changed_at_, .objects = {}};
   std::ranges::copy(std::views::values(objects_),
                     std::back_inserter(out.objects));
   return out;
--- a/src/libtrefoilmill/version/store_follower_test.cc
+++ b/src/libtrefoilmill/version/store_follower_test.cc
@@ -129,4 +129,49 @@
   BOOST_TEST(follower.as_of().value() == 20U);
 }
 
+// Pattern: few hosts of a zone watch; the others are fed.
+BOOST_FIXTURE_TEST_CASE(a_host_that_is_fed_makes_no_calls, fixture) {
+  follower.Start();
+  const auto listed = List({Object("a", 3)}, 5);
+  follower.SetWatching(false);
+  BOOST_TEST(Resume(listed).empty());
+  const auto fed = follower.OnFedChanges(
+      revision(5),
+      {.events = {{.object = Object("b", 8)}}, .as_of = revision(9)});
+  BOOST_TEST(Find<store_follower::changed>(fed) != nullptr);
+  BOOST_TEST(follower.changed_at().value() == 9U);
+  // Told twice, by two watchers.
+  BOOST_TEST(
+      follower
+          .OnFedChanges(revision(5), {.events = {{.object = Object("b", 8)}},
+                                      .as_of = revision(9)})
+          .empty());
+  const auto resumed = follower.SetWatching(true);
+  const auto* watch = Find<store_follower::watch>(resumed);
+  BOOST_TEST_REQUIRE(watch != nullptr);
+  BOOST_TEST(watch->since.value() == 9U);
+}
+
+BOOST_FIXTURE_TEST_CASE(changes_that_leave_a_gap_are_not_taken, fixture) {
+  follower.Start();
+  List({Object("a", 3)}, 5);
+  BOOST_TEST(
+      follower
+          .OnFedChanges(revision(7), {.events = {{.object = Object("b", 8)}},
+                                      .as_of = revision(8)})
+          .empty());
+  BOOST_TEST(!follower.objects().contains("b"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_list_without_news_is_no_change, fixture) {
+  follower.Start();
+  follower.SetWatching(false);
+  Resume(List({Object("a", 3)}, 5));
+  follower.Relist();
+  const auto again = List({Object("a", 3)}, 30);
+  BOOST_TEST(Find<store_follower::replaced>(again) == nullptr);
+  BOOST_TEST(follower.changed_at().value() == 5U);
+  BOOST_TEST(follower.as_of().value() == 30U);
+}
+
 }  // namespace trefoilmill
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -102,6 +102,11 @@
           .changed =
               [self](object_kind kind, const object_event& event) {
                 self->OnChanged(kind, event);
+              },
+          .learned =
+              [self](object_kind kind, revision from,
+                     const object_changes& changes) {
+                self->peers_->Feed(kind, from, changes);
               }},
       std::mt19937_64(random()));
   auto listening = made->Listen();
--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -25,7 +25,13 @@
 constexpr duration kGreetInterval = std::chrono::milliseconds(300);
 constexpr duration kCatchUpInterval = std::chrono::milliseconds(200);
 /// A host whose store connection works gets news by itself within this time.
-constexpr duration kStoreHeadStart = std::chrono::milliseconds(500);
+constexpr duration kStoreHeadStart = std::chrono::milliseconds(300);
+/// How often a host that watches the store says so in its zone.
+constexpr duration kBeatInterval = std::chrono::milliseconds(500);
+/// Beats between two readings of the list of hosts.
+constexpr int kBeatsPerRelist = 40;
+/// Content of changes that one datagram may carry.
+constexpr std::size_t kMaxFedBytes = 16384;
 constexpr duration kFetchTimeout = std::chrono::milliseconds(800);
 constexpr std::size_t kMaxCopyBytes = 8 << 20;
 constexpr char kCopiesPath[] = "/copies/";
@@ -66,9 +72,9 @@
   if (!members.has_value()) {
     return members.error();
   }
-  std::unique_ptr<peer_task> made(
-      new peer_task(loop, settings, store, trace, std::move(on_hosts_changed),
-                    std::move(self), std::move(members.value())));
+  std::unique_ptr<peer_task> made(new peer_task(
+      loop, settings, store, trace, std::move(on_hosts_changed),
+      std::move(self), std::move(members.value()), std::mt19937_64(random())));
   peer_task* task = made.get();
   auto socket = datagram_socket::Bind(
       loop, settings.peers,
@@ -90,6 +96,7 @@
   made->copies_ = std::move(copies.value());
   made->Apply(made->members_.Tick(loop.Now()));
   made->GreetSeeds();
+  made->beat_ = loop.Every(kBeatInterval, [task] { task->Beat(); });
   made->catch_up_ = loop.Every(kCatchUpInterval, [task] { task->CatchUp(); });
   return made;
 }
@@ -100,13 +107,15 @@
                      telemetry& trace,
                      std::function<void()> on_hosts_changed,
                      host_record self,
-                     membership members)
+                     membership members,
+                     std::mt19937_64 random)
     : loop_(loop),
       store_(store),
       trace_(trace),
       on_hosts_changed_(std::move(on_hosts_changed)),
       self_(std::move(self)),
       members_(std::move(members)),
+      duty_(self_.id, {}, loop.Now(), random),
       client_(loop, settings.callers.ip, {.max_body_bytes = kMaxCopyBytes}) {
   for (const std::string& ip : settings.seed_ips) {
     if (ip != self_.peer.ip) {
@@ -126,15 +135,109 @@
   on_hosts_changed_();
 }
 
-void peer_task::PublishDigests() {
+std::vector<document_digest> peer_task::Digests() const {
   std::vector<document_digest> digests;
   for (const object_kind kind : kObjectKinds) {
-    const revision at = store_.Follower(kind).as_of();
+    const revision at = store_.Follower(kind).changed_at();
     if (at != revision()) {
       digests.push_back({.id = DigestName(kind), .in_force = at});
     }
   }
-  Apply(members_.SetDocuments(loop_.Now(), std::move(digests)));
+  return digests;
+}
+
+void peer_task::PublishDigests() {
+  Apply(members_.SetDocuments(loop_.Now(), Digests()));
+}
+
+void peer_task::Beat() {
+  std::vector<host_id> zone;
+  for (const auto& [id, m] : members_.members()) {
+    const bool alive =
+        m.state == member_state::kAlive || m.state == member_state::kSuspect;
+    if (m.host.zone == self_.zone && alive) {
+      zone.push_back(id);
+    }
+  }
+  duty_.SetZoneHosts(zone);
+  const bool watch = duty_.MustWatch(loop_.Now());
+  if (watch != watching_) {
+    watching_ = watch;
+    trace_.log->Info(
+        watch ? "watching the store" : "leaving the store to peers",
+        {.inputs = {{"zone_hosts", static_cast<std::int64_t>(zone.size())}}});
+  }
+  store_.SetWatching(watch);
+  if (!duty_.is_chosen()) {
+    return;
+  }
+  SendToZone({.fresh = store_.is_fresh(), .documents = Digests()});
+  if (++beats_ % kBeatsPerRelist == 0) {
+    store_.RelistHosts();
+  }
+}
+
+void peer_task::Feed(object_kind kind,
+                     revision from,
+                     const object_changes& changes) {
+  if (!duty_.is_chosen()) {
+    return;
+  }
+  store_feed feed{.fresh = true,
+                  .documents = Digests(),
+                  .kind = DigestName(kind),
+                  .from = from};
+  std::size_t bytes = 0;
+  for (const object_event& event : changes.events) {
+    bytes += event.object.content.size();
+    feed.changes.push_back({.name = event.object.name,
+                            .at = event.object.at,
+                            .content = event.object.content,
+                            .deleted = event.deleted});
+  }
+  if (bytes > kMaxFedBytes) {
+    // Too much for a datagram: the digests tell the others to fetch a copy.
+    feed.changes.clear();
+    feed.kind = document_id();
+  }
+  SendToZone(feed);
+}
+
+void peer_task::SendToZone(const store_feed& feed) {
+  const std::string bytes = EncodePeerFrame({.sent = {}, .message = feed});
+  for (const auto& [id, m] : members_.members()) {
+    const bool reachable =
+        m.state == member_state::kAlive || m.state == member_state::kSuspect;
+    if (id != self_.id && m.host.zone == self_.zone && reachable) {
+      trace_.values->Count(metric::kPeerBytes, {"control", "out"},
+                           static_cast<double>(bytes.size()));
+      socket_->Send(m.host.peer, bytes);
+    }
+  }
+}
+
+void peer_task::OnFeed(const host_id& from, const store_feed& feed) {
+  if (feed.fresh) {
+    duty_.OnFreshFeed(loop_.Now());
+  }
+  for (const object_kind kind : kObjectKinds) {
+    const auto digest = std::ranges::find(feed.documents, DigestName(kind),
+                                          &document_digest::id);
+    if (digest == feed.documents.end()) {
+      continue;
+    }
+    if (feed.kind == DigestName(kind)) {
+      object_changes changes{.events = {}, .as_of = digest->in_force};
+      for (const fed_object& object : feed.changes) {
+        changes.events.push_back({.object = {.name = object.name,
+                                             .at = object.at,
+                                             .content = object.content},
+                                  .deleted = object.deleted});
+      }
+      store_.OfferChanges(kind, feed.from, std::move(changes));
+    }
+    fed_[kind] = {digest->in_force, addresses_.at(from)};
+  }
 }
 
 void peer_task::Leave() {
@@ -235,6 +338,10 @@
     return;
   }
   const host_id id = sender->second;
+  if (const auto* feed = std::get_if<store_feed>(&message)) {
+    OnFeed(id, *feed);
+    return;
+  }
   Apply(members_.Receive(loop_.Now(), id, message));
 }
 
@@ -260,6 +367,10 @@
         ahead.push_back(m.host.peer);
       }
     }
+    if (const auto fed = fed_.find(kind);
+        fed != fed_.end() && fed->second.first > own.as_of()) {
+      ahead = {fed->second.second};
+    }
     if (ahead.empty()) {
       behind_since_.erase(kind);
       continue;
--- a/src/trefoilmill_entry/peer_task.h
+++ b/src/trefoilmill_entry/peer_task.h
@@ -15,6 +15,7 @@
 #include "trefoilmill/net/datagram_socket.h"
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
+#include "trefoilmill/process/watch_duty.h"
 #include "trefoilmill_entry/store_task.h"
 #include "trefoilmill_entry/telemetry.h"
 
@@ -35,6 +36,9 @@
   void SetListed(std::vector<host_record> hosts);
   /// Tells the others what this host has in force.
   void PublishDigests();
+  /// Passes what the store told on to the hosts of the zone, if that is this
+  /// host's duty.
+  void Feed(object_kind kind, revision from, const object_changes& changes);
   /// Tells the others that this host takes no new work.
   void Leave();
   /// Tells the others that this host ends now.
@@ -54,7 +58,8 @@
             telemetry& trace,
             std::function<void()> on_hosts_changed,
             host_record self,
-            membership members);
+            membership members,
+            std::mt19937_64 random);
 
   void Apply(membership::actions actions);
   void Do(const membership::send& action);
@@ -65,6 +70,12 @@
   void OnDatagram(const socket_address& from, const std::string& bytes);
   void OnCopyRequest(const http_request& request, const http_responder& reply);
   void GreetSeeds();
+  void OnFeed(const host_id& from, const store_feed& feed);
+  /// Regular sign of a host that watches the store; also decides whether this
+  /// host is to watch.
+  void Beat();
+  void SendToZone(const store_feed& feed);
+  std::vector<document_digest> Digests() const;
   /// Fetches what some peer has and this host lacks.
   void CatchUp();
   void Fetch(object_kind kind, const socket_address& from);
@@ -78,6 +89,11 @@
   membership members_;
   std::map<host_id, socket_address> addresses_;
   std::map<socket_address, host_id> ids_;
+  watch_duty duty_;
+  bool watching_ = true;
+  int beats_ = 0;
+  /// What the zone's watchers have, and where.
+  std::map<object_kind, std::pair<revision, socket_address>> fed_;
   /// Since when a peer was seen ahead of this host.
   std::map<object_kind, time_point> behind_since_;
   http_client client_;
@@ -86,6 +102,7 @@
   timer wake_;
   timer greet_;
   timer catch_up_;
+  timer beat_;
 };
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/store_task.cc
+++ b/src/trefoilmill_entry/store_task.cc
@@ -66,6 +66,31 @@
   return followed_.at(kind)->follower;
 }
 
+bool store_task::is_fresh() const {
+  return std::ranges::all_of(followed_, [](const auto& entry) {
+    return entry.second->follower.is_fresh();
+  });
+}
+
+void store_task::SetWatching(bool watching) {
+  for (auto& [kind, f] : followed_) {
+    const bool wanted = watching && kind != object_kind::kHosts;
+    Apply(*f, f->follower.SetWatching(wanted));
+  }
+}
+
+void store_task::RelistHosts() {
+  followed& f = *followed_.at(object_kind::kHosts);
+  Apply(f, f.follower.Relist());
+}
+
+void store_task::OfferChanges(object_kind kind,
+                              revision from,
+                              object_changes changes) {
+  followed& f = *followed_.at(kind);
+  Apply(f, f.follower.OnFedChanges(from, std::move(changes)));
+}
+
 void store_task::OfferCopy(object_kind kind, store_follower::copy copy) {
   followed& f = *followed_.at(kind);
   Apply(f, f.follower.OnCopy(std::move(copy)));
@@ -113,6 +138,19 @@
       });
 }
 
+void store_task::OnWatchEnded(followed& f, watch_result ended) {
+  const revision from = f.follower.changed_at();
+  std::optional<object_changes> news;
+  if (const auto* changes = std::get_if<object_changes>(&ended);
+      changes != nullptr && !changes->events.empty()) {
+    news = *changes;
+  }
+  Apply(f, f.follower.OnWatch(loop_.Now(), std::move(ended)));
+  if (news.has_value()) {
+    on_.learned(f.kind, from, *news);
+  }
+}
+
 void store_task::Do(followed& f, const store_follower::wake& action) {
   f.wake = loop_.After(action.at - loop_.Now(),
                        [this, &f] { Apply(f, f.follower.Tick(loop_.Now())); });
--- a/src/trefoilmill_entry/store_task.h
+++ b/src/trefoilmill_entry/store_task.h
@@ -24,6 +24,9 @@
     std::function<void(object_kind)> replaced;
     /// One object changed.
     std::function<void(object_kind, const object_event&)> changed;
+    /// The store itself told of changes, which follow on `from`.
+    std::function<void(object_kind, revision from, const object_changes&)>
+        learned;
   };
 
   store_task(event_loop& loop,
@@ -41,12 +44,19 @@
   void Announce(object_kind kind, std::string name, std::string content);
   /// Deletes an object, once: a failure is logged and left.
   void Delete(object_kind kind, const std::string& name);
+  /// Whether this host watches the store by itself. Hosts' announcements are
+  /// never watched: membership tells of hosts sooner.
+  void SetWatching(bool watching);
+  /// Reads the list of hosts anew.
+  void RelistHosts();
+  /// Takes in what a peer passed on.
+  void OfferChanges(object_kind kind, revision from, object_changes changes);
   /// Takes in a peer's copy.
   void OfferCopy(object_kind kind, store_follower::copy copy);
 
   const store_follower& Follower(object_kind kind) const;
-  /// Whether the last call of any kind was answered.
-  bool is_reachable() const { return reachable_; }
+  /// Whether the last call of every watched kind was answered.
+  bool is_fresh() const;
 
  private:
   struct followed;
@@ -57,6 +67,7 @@
   void Do(followed& f, const store_follower::wake& action);
   void Do(followed& f, const store_follower::replaced& action);
   void Do(followed& f, const store_follower::changed& action);
+  void OnWatchEnded(followed& f, watch_result ended);
   void Failed(followed& f, const failure& error);
   void Put(bool create, int failures);
   void NoteReachable(bool reachable, std::string_view call);
