--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -12,8 +12,11 @@
 constexpr duration kCallerNetwork = std::chrono::milliseconds(9);
 /// Time kept back before the caller's deadline for the answer's way.
 constexpr duration kFinalMargin = std::chrono::milliseconds(12);
-/// A sub-request is hedged once it is later than this quantile.
-constexpr double kHedgeQuantile = 0.9;
+/// A sub-request is hedged once it takes longer than this quantile times this
+/// factor. A quantile further out would grow with the very stragglers that
+/// hedges are for.
+constexpr double kHedgeQuantile = 0.75;
+constexpr double kHedgeFactor = 1.5;
 /// Part of the objective after which to hedge before latencies are known.
 constexpr int kUnlearnedHedgeShare = 4;
 /// Part of the saved-up extra sends that is kept for retries.
@@ -271,7 +274,7 @@
   const auto found = shared.latencies.find(route_->id);
   if (found != shared.latencies.end()) {
     if (const auto learned = found->second.Quantile(kHedgeQuantile)) {
-      return *learned;
+      return std::chrono::duration_cast<duration>(kHedgeFactor * *learned);
     }
   }
   return route_->objective / kUnlearnedHedgeShare;
