Stragglers are told to other hosts; an abandoned reply no longer ends the process

Placement: a hedged send counts as slow before its reply, a usual reply clears the mark faster than slow ones set it, and hosts tell each other of endpoints that are slow or fail (at once to all in a small fleet, to the zone in a large one).

--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -12,6 +12,7 @@
 
 #include "trefoilmill/deployment.h"
 #include "trefoilmill/ids.h"
+#include "trefoilmill/process/placement.h"
 #include "trefoilmill/time.h"
 #include "trefoilmill/verdict.h"
 
@@ -194,6 +195,11 @@
 };
 /// @}
 
+/// Endpoints that the sender finds slow or failing.
+struct endpoint_troubles {
+  std::vector<endpoint_trouble> reports;
+};
+
 using peer_message = std::variant<hello_message,
                                   ping_message,
                                   ack_message,
@@ -205,7 +211,8 @@
                                   shard_reply_message,
                                   hedge_started_message,
                                   shard_cancel_message,
-                                  store_feed>;
+                                  store_feed,
+                                  endpoint_troubles>;
 
 }  // namespace trefoilmill
 
--- a/src/include/trefoilmill/process/placement.h
+++ b/src/include/trefoilmill/process/placement.h
@@ -11,6 +11,7 @@
 #define TREFOILMILL_PROCESS_PLACEMENT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
@@ -33,6 +34,15 @@
   kUnanswered,   ///< Nothing came before the request was given up.
 };
 
+/// What one host tells the others of an endpoint that is not well.
+struct endpoint_trouble {
+  endpoint_id endpoint;
+  /// Latency beyond the usual, in usual latencies, times a thousand.
+  std::int32_t excess_milli = 0;
+  /// Share of sends that failed, times a thousand.
+  std::int32_t failed_milli = 0;
+};
+
 class placement {
  public:
   /// @name Results of Choose()
@@ -78,6 +88,17 @@
                 duration expected,
                 purpose why);
 
+  /// A sub-request is so late that it is hedged: shows a slow endpoint sooner
+  /// than its reply does.
+  void OnLate(time_point now,
+              const endpoint_id& id,
+              attempt_id attempt,
+              duration expected);
+  /// Another host's word on an endpoint; counts beside what this host sees.
+  void OnReport(time_point now, const endpoint_trouble& report);
+  /// What this host itself saw lately of endpoints that are not well.
+  std::vector<endpoint_trouble> Reports(time_point now) const;
+
   /// A sub-request was handed to the endpoint.
   void OnSend(time_point now, const endpoint_id& id, attempt_id attempt);
   /// The send was planned but not carried out.
@@ -107,6 +128,9 @@
     std::map<attempt_id, time_point> in_flight;
     fading slowness;
     fading failures;
+    /// The same by other hosts' reports.
+    fading heard_slowness;
+    fading heard_failures;
     time_point blocked_until;
     duration block{};
   };
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -231,6 +231,10 @@
     fields(r.request, r.replies, r.loads);
   } else if constexpr (kIs<fed_object, record>) {
     fields(r.name, r.at, r.content, r.deleted);
+  } else if constexpr (kIs<endpoint_trouble, record>) {
+    fields(r.endpoint, r.excess_milli, r.failed_milli);
+  } else if constexpr (kIs<endpoint_troubles, record>) {
+    fields(r.reports);
   } else if constexpr (kIs<store_feed, record>) {
     fields(r.fresh, r.documents, r.kind, r.from, r.changes);
   } else if constexpr (kIs<hedge_started_message, record>) {
--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -66,7 +66,8 @@
       hello_message{},         ping_message{},         ack_message{},
       ping_request_message{},  announce_message{},     document_request{},
       document_body{},         shard_query_message{},  shard_reply_message{},
-      hedge_started_message{}, shard_cancel_message{}, store_feed{}};
+      hedge_started_message{}, shard_cancel_message{}, store_feed{},
+      endpoint_troubles{}};
   BOOST_TEST(messages.size() == std::variant_size_v<peer_message>);
   for (const auto& message : messages) {
     const auto frame = DecodePeerFrame(EncodePeerFrame({.message = message}));
--- a/src/libtrefoilmill/process/extra_send_budget.cc
+++ b/src/libtrefoilmill/process/extra_send_budget.cc
@@ -8,11 +8,11 @@
 
 /// Part of the ratio that is handed out; the rest covers requests that are
 /// counted in another window than their extra sends.
-constexpr double kRatioShare = 0.85;
+constexpr double kRatioShare = 0.92;
 /// A host's share of the slack up to which it may save up all of it.
 constexpr double kUndividedShare = 3;
 /// Part of the slack that is handed out.
-constexpr double kSlackShare = 0.8;
+constexpr double kSlackShare = 0.85;
 
 }  // namespace
 
--- a/src/libtrefoilmill/process/placement.cc
+++ b/src/libtrefoilmill/process/placement.cc
@@ -11,8 +11,18 @@
 /// a single pause does not mark an endpoint as a straggler.
 constexpr double kMaxSlownessSample = 4;
 constexpr double kSlownessWeight = 0.2;
+/// A reply in the usual time tells more: a straggler gives none, an endpoint
+/// that paused gives one at once.
+constexpr double kRecoveryWeight = 0.5;
 /// A straggler gets a trial request again after about this long.
-constexpr duration kSlownessHalfLife = std::chrono::milliseconds(1500);
+constexpr duration kSlownessHalfLife = std::chrono::milliseconds(2200);
+/// Trouble from which on other hosts are told.
+constexpr double kReportedExcess = 1;
+constexpr double kReportedFailures = 0.3;
+/// Other hosts' reports hold about as long as the pause between them.
+constexpr duration kHeardHalfLife = std::chrono::milliseconds(1000);
+constexpr double kHeardWeight = 0.5;
+constexpr double kMilli = 1000;
 
 constexpr double kFailureWeight = 0.25;
 constexpr duration kFailureHalfLife = std::chrono::milliseconds(2000);
@@ -91,7 +101,12 @@
                          const endpoint_registry::entry& entry,
                          const observed& seen,
                          duration expected) const {
-  double slowness = 1 + seen.slowness.Value(now, kSlownessHalfLife);
+  double slowness =
+      1 + std::max(seen.slowness.Value(now, kSlownessHalfLife),
+                   seen.heard_slowness.Value(now, kHeardHalfLife));
+  const double failures =
+      std::max(seen.failures.Value(now, kFailureHalfLife),
+               seen.heard_failures.Value(now, kHeardHalfLife));
   const double usual =
       std::max<double>(1, static_cast<double>(expected.count()));
   if (!seen.in_flight.empty()) {
@@ -102,7 +117,7 @@
   const double load = static_cast<double>(seen.in_flight.size()) /
                       std::max(1, entry.record.slots);
   double cost = std::max(0.2, slowness) * (1 + kInFlightCost * load) *
-                (1 + kFailureCost * seen.failures.Value(now, kFailureHalfLife));
+                (1 + kFailureCost * failures);
   if (entry.record.zone != zone_) {
     cost *= kOtherZoneCost;
   }
@@ -184,7 +199,11 @@
       std::max<double>(1, static_cast<double>(expected.count()));
   const double ratio = std::min(kMaxSlownessSample, latency / usual);
   if (how == send_end::kAnswered) {
-    seen.slowness.Move(now, ratio - 1, kSlownessWeight, kSlownessHalfLife);
+    const double before = seen.slowness.Value(now, kSlownessHalfLife);
+    const bool recovers = ratio - 1 < before;
+    seen.slowness.Move(now, ratio - 1,
+                       recovers ? kRecoveryWeight : kSlownessWeight,
+                       kSlownessHalfLife);
     seen.failures.Move(now, 0, kFailureWeight, kFailureHalfLife);
     return;
   }
@@ -194,6 +213,50 @@
   }
 }
 
+void placement::OnLate(time_point now,
+                       const endpoint_id& id,
+                       attempt_id attempt,
+                       duration expected) {
+  observed& seen = seen_[id];
+  const auto sent = seen.in_flight.find(attempt);
+  if (sent == seen.in_flight.end()) {
+    return;
+  }
+  const double usual =
+      std::max<double>(1, static_cast<double>(expected.count()));
+  const double ratio =
+      static_cast<double>((now - sent->second).count()) / usual;
+  seen.slowness.Move(now, std::min(kMaxSlownessSample, ratio) - 1,
+                     kSlownessWeight, kSlownessHalfLife);
+}
+
+void placement::OnReport(time_point now, const endpoint_trouble& report) {
+  const auto found = seen_.find(report.endpoint);
+  if (found == seen_.end()) {
+    return;
+  }
+  observed& seen = found->second;
+  seen.heard_slowness.Move(now, report.excess_milli / kMilli, kHeardWeight,
+                           kHeardHalfLife);
+  seen.heard_failures.Move(now, report.failed_milli / kMilli, kHeardWeight,
+                           kHeardHalfLife);
+}
+
+std::vector<endpoint_trouble> placement::Reports(time_point now) const {
+  std::vector<endpoint_trouble> reports;
+  for (const auto& [id, seen] : seen_) {
+    const double excess = seen.slowness.Value(now, kSlownessHalfLife);
+    const double failures = seen.failures.Value(now, kFailureHalfLife);
+    if (excess >= kReportedExcess || failures >= kReportedFailures) {
+      reports.push_back(
+          {.endpoint = id,
+           .excess_milli = static_cast<std::int32_t>(excess * kMilli),
+           .failed_milli = static_cast<std::int32_t>(failures * kMilli)});
+    }
+  }
+  return reports;
+}
+
 double placement::SlownessOf(time_point now, const endpoint_id& id) const {
   const auto found = seen_.find(id);
   return found == seen_.end()
--- a/src/libtrefoilmill/process/placement_test.cc
+++ b/src/libtrefoilmill/process/placement_test.cc
@@ -161,4 +161,33 @@
   BOOST_TEST(counts["a"] > counts["b"]);
 }
 
+// Pattern: a straggler in a fleet where each host meets it once a second.
+BOOST_FIXTURE_TEST_CASE(what_one_host_saw_helps_another, fixture) {
+  fixture other;
+  for (int i = 0; i < 4; ++i) {
+    Exchange("a", 8 * kUsual, send_end::kAnswered);
+  }
+  const auto reports = places.Reports(now);
+  BOOST_TEST_REQUIRE(reports.size() == 1U);
+  BOOST_TEST((reports[0].endpoint == endpoint_id("a")));
+  for (int i = 0; i < 3; ++i) {
+    other.places.OnReport(other.now, reports[0]);
+  }
+  BOOST_TEST(other.Draw()["a"] < 60);
+  // What was only heard is not told again: no rumour keeps itself alive.
+  BOOST_TEST(other.places.Reports(other.now).empty());
+  other.now += seconds(6);
+  BOOST_TEST(other.Draw()["a"] > 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_reply_counts_before_it_arrives, fixture) {
+  for (int i = 0; i < 4; ++i) {
+    const attempt_id attempt = Send("a");
+    now += 4 * kUsual;
+    places.OnLate(now, endpoint_id("a"), attempt, kUsual);
+    places.Withdraw(endpoint_id("a"), attempt);
+  }
+  BOOST_TEST(Draw()["a"] < 60);
+}
+
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -292,6 +292,9 @@
       continue;
     }
     s.hedged = true;
+    const attempt& late = s.in_flight.front();
+    shared.places.OnLate(now, late.endpoint, late.id,
+                         UsualLatency(shared, *route_));
     const auto choice = shared.places.Choose(
         now, shared.registry, s.service, s.tried, UsualLatency(shared, *route_),
         placement::purpose::kHedge);
--- a/src/trefoilmill_entry/endpoint_links.cc
+++ b/src/trefoilmill_entry/endpoint_links.cc
@@ -169,6 +169,10 @@
 }
 
 void endpoint_links::OnReply(pool& p, link& l, http_exchange exchange) {
+  if (l.done == nullptr) {
+    // Abandoned while the reply was on its way through the loop.
+    return;
+  }
   carrying_.erase(l.attempt);
   l.busy = false;
   l.idle_since = loop_.Now();
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -114,8 +114,8 @@
     return listening.error();
   }
   auto peers = peer_task::Create(
-      loop, settings, *made->store_, made->trace_, [self] { self->ShareOut(); },
-      std::mt19937_64(random()));
+      loop, settings, *made->store_, made->shared_.places, made->trace_,
+      [self] { self->ShareOut(); }, std::mt19937_64(random()));
   if (!peers.has_value()) {
     return peers.error();
   }
--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -30,6 +30,11 @@
 constexpr duration kBeatInterval = std::chrono::milliseconds(500);
 /// Beats between two readings of the list of hosts.
 constexpr int kBeatsPerRelist = 40;
+/// How often hosts tell of endpoints that are not well, and of how many.
+constexpr duration kReportInterval = std::chrono::milliseconds(250);
+constexpr std::size_t kMaxReports = 24;
+/// Up to this many hosts, feeds and reports go to other zones as well.
+constexpr std::size_t kSmallFleet = 16;
 /// Content of changes that one datagram may carry.
 constexpr std::size_t kMaxFedBytes = 16384;
 constexpr duration kFetchTimeout = std::chrono::milliseconds(800);
@@ -58,6 +63,7 @@
     event_loop& loop,
     const entry_settings& settings,
     store_task& store,
+    placement& places,
     telemetry& trace,
     std::function<void()> on_hosts_changed,
     std::mt19937_64 random) {
@@ -97,6 +103,7 @@
   made->Apply(made->members_.Tick(loop.Now()));
   made->GreetSeeds();
   made->beat_ = loop.Every(kBeatInterval, [task] { task->Beat(); });
+  made->report_ = loop.Every(kReportInterval, [task] { task->Report(); });
   made->catch_up_ = loop.Every(kCatchUpInterval, [task] { task->CatchUp(); });
   return made;
 }
@@ -104,6 +111,7 @@
 peer_task::peer_task(event_loop& loop,
                      const entry_settings& settings,
                      store_task& store,
+                     placement& places,
                      telemetry& trace,
                      std::function<void()> on_hosts_changed,
                      host_record self,
@@ -111,6 +119,7 @@
                      std::mt19937_64 random)
     : loop_(loop),
       store_(store),
+      places_(places),
       trace_(trace),
       on_hosts_changed_(std::move(on_hosts_changed)),
       self_(std::move(self)),
@@ -171,7 +180,7 @@
   if (!duty_.is_chosen()) {
     return;
   }
-  SendToZone({.fresh = store_.is_fresh(), .documents = Digests()});
+  SendToZone(store_feed{.fresh = store_.is_fresh(), .documents = Digests()});
   if (++beats_ % kBeatsPerRelist == 0) {
     store_.RelistHosts();
   }
@@ -203,12 +212,26 @@
   SendToZone(feed);
 }
 
-void peer_task::SendToZone(const store_feed& feed) {
-  const std::string bytes = EncodePeerFrame({.sent = {}, .message = feed});
+void peer_task::Report() {
+  endpoint_troubles told{.reports = places_.Reports(loop_.Now())};
+  if (told.reports.empty()) {
+    return;
+  }
+  if (told.reports.size() > kMaxReports) {
+    told.reports.resize(kMaxReports);
+  }
+  SendToZone(told);
+}
+
+void peer_task::SendToZone(const peer_message& message) {
+  const std::string bytes = EncodePeerFrame({.sent = {}, .message = message});
+  // A small fleet hears everything; in a large one each zone tells its own.
+  const bool everywhere = members_.members().size() <= kSmallFleet;
   for (const auto& [id, m] : members_.members()) {
     const bool reachable =
         m.state == member_state::kAlive || m.state == member_state::kSuspect;
-    if (id != self_.id && m.host.zone == self_.zone && reachable) {
+    const bool near = everywhere || m.host.zone == self_.zone;
+    if (id != self_.id && near && reachable) {
       trace_.values->Count(metric::kPeerBytes, {"control", "out"},
                            static_cast<double>(bytes.size()));
       socket_->Send(m.host.peer, bytes);
@@ -338,6 +361,12 @@
     return;
   }
   const host_id id = sender->second;
+  if (const auto* told = std::get_if<endpoint_troubles>(&message)) {
+    for (const endpoint_trouble& report : told->reports) {
+      places_.OnReport(loop_.Now(), report);
+    }
+    return;
+  }
   if (const auto* feed = std::get_if<store_feed>(&message)) {
     OnFeed(id, *feed);
     return;
--- a/src/trefoilmill_entry/peer_task.h
+++ b/src/trefoilmill_entry/peer_task.h
@@ -27,6 +27,7 @@
       event_loop& loop,
       const entry_settings& settings,
       store_task& store,
+      placement& places,
       telemetry& trace,
       std::function<void()> on_hosts_changed,
       std::mt19937_64 random);
@@ -55,6 +56,7 @@
   peer_task(event_loop& loop,
             const entry_settings& settings,
             store_task& store,
+            placement& places,
             telemetry& trace,
             std::function<void()> on_hosts_changed,
             host_record self,
@@ -74,7 +76,9 @@
   /// Regular sign of a host that watches the store; also decides whether this
   /// host is to watch.
   void Beat();
-  void SendToZone(const store_feed& feed);
+  void SendToZone(const peer_message& message);
+  /// Tells of endpoints that are not well.
+  void Report();
   std::vector<document_digest> Digests() const;
   /// Fetches what some peer has and this host lacks.
   void CatchUp();
@@ -82,6 +86,7 @@
 
   event_loop& loop_;
   store_task& store_;
+  placement& places_;
   telemetry& trace_;
   std::function<void()> on_hosts_changed_;
   host_record self_;
@@ -103,6 +108,7 @@
   timer greet_;
   timer catch_up_;
   timer beat_;
+  timer report_;
 };
 
 }  // namespace trefoilmill::entry
