--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -79,7 +79,7 @@
     return members.error();
   }
   std::unique_ptr<peer_task> made(new peer_task(
-      loop, settings, store, trace, std::move(on_hosts_changed),
+      loop, settings, store, places, trace, std::move(on_hosts_changed),
       std::move(self), std::move(members.value()), std::mt19937_64(random())));
   peer_task* task = made.get();
   auto socket = datagram_socket::Bind(
