--- a/src/libtmnet/datagram_socket_test.cc
+++ b/src/libtmnet/datagram_socket_test.cc
@@ -18,7 +18,8 @@
   const auto loop = MakeLoop();
   std::string got;
   socket_address sender;
-  auto a = datagram_socket::Bind(*loop, At(7741), [](const auto&, auto) {});
+  auto a =
+      datagram_socket::Bind(*loop, At(7741), [](const auto&, const auto&) {});
   auto b = datagram_socket::Bind(
       *loop, At(7742), [&](const socket_address& from, std::string bytes) {
         sender = from;
@@ -34,7 +35,7 @@
 
 BOOST_AUTO_TEST_CASE(a_taken_port_is_a_failure) {
   const auto loop = MakeLoop();
-  const auto ignore = [](const auto&, auto) {};
+  const auto ignore = [](const auto&, const auto&) {};
   const auto first = datagram_socket::Bind(*loop, At(7743), ignore);
   const auto second = datagram_socket::Bind(*loop, At(7743), ignore);
   BOOST_TEST(first.has_value());
--- a/src/libtmnet/http_passthrough_test.cc
+++ b/src/libtmnet/http_passthrough_test.cc
@@ -42,7 +42,7 @@
   raw_server peer(*loop, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
                   raw_action::kIgnore);
   Ask(peer.port(), Given());
-  const std::string sent = peer.received();
+  const std::string& sent = peer.received();
   BOOST_TEST(sent.starts_with("PUT /a%2Fb//c?x=%20y&&z HTTP/1.1\r\n"));
   BOOST_TEST(sent.find("Host: shop.example\r\n") != std::string::npos);
   BOOST_TEST(sent.find("Content-Length: 4\r\n") != std::string::npos);
--- a/src/libtrefoilmill/connection/connection_share_test.cc
+++ b/src/libtrefoilmill/connection/connection_share_test.cc
@@ -8,8 +8,8 @@
 namespace trefoilmill {
 namespace {
 
-const std::set<endpoint_id> kReplicas = {endpoint_id("a"), endpoint_id("b"),
-                                         endpoint_id("c")};
+const std::set<endpoint_id> all_replicas = {endpoint_id("a"), endpoint_id("b"),
+                                            endpoint_id("c")};
 
 host_id Host(int number) {
   return host_id("front-" + std::to_string(number));
@@ -20,7 +20,7 @@
           const endpoint_id& endpoint,
           int max_connections) {
   return ConnectionShare(self, hosts,
-                         {.replicas = kReplicas,
+                         {.replicas = all_replicas,
                           .endpoint = endpoint,
                           .max_connections = max_connections,
                           .slots = 4});
@@ -43,7 +43,7 @@
   std::map<endpoint_id, int> connections;
   for (int number = 0; number < kHosts; ++number) {
     int reached = 0;
-    for (const endpoint_id& endpoint : kReplicas) {
+    for (const endpoint_id& endpoint : all_replicas) {
       const int share = Share(Host(number), kHosts, endpoint, kMaxConnections);
       connections[endpoint] += share;
       reached += share;
@@ -58,7 +58,7 @@
 
 BOOST_AUTO_TEST_CASE(one_host_more_moves_nothing_of_the_others) {
   for (int number = 0; number < 91; ++number) {
-    for (const endpoint_id& endpoint : kReplicas) {
+    for (const endpoint_id& endpoint : all_replicas) {
       BOOST_TEST(Share(Host(number), 91, endpoint, 78) ==
                  Share(Host(number), 92, endpoint, 78));
     }
--- a/src/libtrefoilmill/http_message.cc
+++ b/src/libtrefoilmill/http_message.cc
@@ -1,13 +1,14 @@
 #include "trefoilmill/http_message.h"
 
-#include <strings.h>
-
 #include <algorithm>
+#include <cctype>
 
 namespace trefoilmill {
 
 bool SameHeaderName(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+  return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) {
+    return std::tolower(x) == std::tolower(y);
+  });
 }
 
 std::optional<std::string> FindHeader(const std::vector<http_header>& headers,
--- a/src/libtrefoilmill/process/endpoint_registry.cc
+++ b/src/libtrefoilmill/process/endpoint_registry.cc
@@ -112,9 +112,9 @@
 
 const std::set<endpoint_id>& endpoint_registry::OfService(
     const service_id& service) const {
-  static const std::set<endpoint_id> kNone;
+  static const std::set<endpoint_id> none;
   const auto found = services_.find(service);
-  return found == services_.end() ? kNone : found->second;
+  return found == services_.end() ? none : found->second;
 }
 
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/process/endpoint_registry_test.cc
+++ b/src/libtrefoilmill/process/endpoint_registry_test.cc
@@ -8,12 +8,12 @@
 
 using std::chrono::milliseconds;
 
-const service_id kService("ledger");
+const service_id ledger("ledger");
 constexpr duration kGrace = milliseconds(2200);
 
 endpoint_record Record(const std::string& id, std::uint16_t port = 80) {
   return {.id = endpoint_id(id),
-          .service = kService,
+          .service = ledger,
           .zone = zone_id("perth"),
           .address = {.ip = "10.0.0.1", .port = port}};
 }
@@ -23,7 +23,7 @@
   endpoint_registry registry{kGrace};
 
   bool Knows(const std::string& id) const {
-    return registry.OfService(kService).contains(endpoint_id(id));
+    return registry.OfService(ledger).contains(endpoint_id(id));
   }
 };
 
--- a/src/libtrefoilmill/process/extra_send_budget_test.cc
+++ b/src/libtrefoilmill/process/extra_send_budget_test.cc
@@ -12,10 +12,10 @@
 
 using std::chrono::milliseconds;
 
-const service_id kService("van-manifest-1");
-const extra_send_bound kBound{.ratio = 0.2,
-                              .slack = 54,
-                              .window = std::chrono::seconds(10)};
+const service_id manifest("van-manifest-1");
+const extra_send_bound test_bound{.ratio = 0.2,
+                                  .slack = 54,
+                                  .window = std::chrono::seconds(10)};
 
 /// Hosts that spend whatever they are allowed, at any moment.
 struct greedy_fleet {
@@ -29,70 +29,71 @@
     }
   }
   void Add(std::size_t counted) {
-    hosts.emplace_back(kBound).SetHosts(counted);
+    hosts.emplace_back(test_bound).SetHosts(counted);
   }
   void Request(time_point now, std::size_t host) {
-    hosts[host].OnFirstSend(now, kService);
+    hosts[host].OnFirstSend(now, manifest);
     requests.push_back(now);
-    while (hosts[host].TrySpend(now, kService)) {
+    while (hosts[host].TrySpend(now, manifest)) {
       extras.push_back(now);
     }
   }
   bool Holds(time_point now) {
     const auto expire = [&](std::deque<time_point>& events) {
-      while (!events.empty() && events.front() <= now - kBound.window) {
+      while (!events.empty() && events.front() <= now - test_bound.window) {
         events.pop_front();
       }
     };
     expire(requests);
     expire(extras);
     return static_cast<double>(extras.size()) <=
-           kBound.ratio * static_cast<double>(requests.size()) + kBound.slack;
+           test_bound.ratio * static_cast<double>(requests.size()) +
+               test_bound.slack;
   }
 };
 
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(a_new_process_has_nothing_to_spend) {
-  extra_send_budget budget(kBound);
+  extra_send_budget budget(test_bound);
   budget.SetHosts(7);
-  BOOST_TEST(!budget.TrySpend(time_point(), kService));
+  BOOST_TEST(!budget.TrySpend(time_point(), manifest));
 }
 
 BOOST_AUTO_TEST_CASE(requests_earn_less_than_the_ratio) {
-  extra_send_budget budget(kBound);
+  extra_send_budget budget(test_bound);
   budget.SetHosts(7);
   const time_point now{};
   int spent = 0;
   for (int request = 0; request < 1000; ++request) {
-    budget.OnFirstSend(now, kService);
-    spent += budget.TrySpend(now, kService) ? 1 : 0;
+    budget.OnFirstSend(now, manifest);
+    spent += budget.TrySpend(now, manifest) ? 1 : 0;
   }
   BOOST_TEST(spent <= 200);
   BOOST_TEST(spent >= 150);
 }
 
 BOOST_AUTO_TEST_CASE(a_reserve_is_left_for_others) {
-  extra_send_budget budget(kBound);
+  extra_send_budget budget(test_bound);
   budget.SetHosts(7);
   for (int request = 0; request < 100; ++request) {
-    budget.OnFirstSend(time_point(), kService);
+    budget.OnFirstSend(time_point(), manifest);
   }
   int hedges = 0;
-  while (budget.TrySpend(time_point(), kService, 1)) {
+  while (budget.TrySpend(time_point(), manifest, 1)) {
     ++hedges;
   }
   BOOST_TEST(hedges > 0);
-  BOOST_TEST(budget.TrySpend(time_point(), kService));
+  BOOST_TEST(budget.TrySpend(time_point(), manifest));
 }
 
 BOOST_AUTO_TEST_CASE(a_large_fleet_still_has_one_send_each) {
   extra_send_budget budget({.ratio = 0.2, .slack = 222});
   budget.SetHosts(91);
   for (int request = 0; request < 20; ++request) {
-    budget.OnFirstSend(time_point(), kService);
+    budget.OnFirstSend(time_point(), manifest);
   }
-  BOOST_TEST(budget.TrySpend(time_point(), kService));
+  BOOST_TEST(budget.TrySpend(time_point(), manifest));
 }
 
 // Pattern: all hosts restart within the window, while some still count an
@@ -107,7 +108,7 @@
       now += milliseconds(*rc::gen::inRange(0, 80));
       const auto host = *rc::gen::inRange<std::size_t>(0, count);
       if (*rc::gen::inRange(0, 40) == 0) {
-        fleet.hosts[host] = extra_send_budget(kBound);
+        fleet.hosts[host] = extra_send_budget(test_bound);
         fleet.hosts[host].SetHosts(count);
       }
       fleet.Request(now, host);
--- a/src/libtrefoilmill/process/placement_test.cc
+++ b/src/libtrefoilmill/process/placement_test.cc
@@ -10,14 +10,14 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const service_id kService("unit-sweep-1");
-const zone_id kOwnZone("erie");
+const service_id sweep("unit-sweep-1");
+const zone_id own_zone("erie");
 constexpr duration kUsual = milliseconds(10);
 
 struct fixture {
   time_point now{seconds(1)};
   endpoint_registry registry{milliseconds(2200)};
-  placement places{kOwnZone, std::mt19937_64(7)};
+  placement places{own_zone, std::mt19937_64(7)};
   std::uint64_t attempts = 0;
 
   fixture() {
@@ -28,8 +28,8 @@
 
   endpoint_record Record(const std::string& id) const {
     return {.id = endpoint_id(id),
-            .service = kService,
-            .zone = kOwnZone,
+            .service = sweep,
+            .zone = own_zone,
             .address = {.ip = "10.0.0.1", .port = 80},
             .slots = 2};
   }
@@ -55,7 +55,7 @@
     std::map<std::string, int> counts;
     for (int draw = 0; draw < 1000; ++draw) {
       const auto choice =
-          places.Choose(now, registry, kService, excluded, kUsual, why);
+          places.Choose(now, registry, sweep, excluded, kUsual, why);
       if (const auto* chosen = std::get_if<placement::chosen>(&choice)) {
         ++counts[chosen->endpoint.value()];
       }
@@ -119,11 +119,11 @@
   for (const char* id : {"a", "b", "c"}) {
     places.SetFree(endpoint_id(id), 0);
   }
-  auto choice = places.Choose(now, registry, kService, {}, kUsual,
+  auto choice = places.Choose(now, registry, sweep, {}, kUsual,
                               placement::purpose::kFirst);
   BOOST_TEST(std::holds_alternative<placement::no_capacity>(choice));
-  places.SetZonesOut({kOwnZone});
-  choice = places.Choose(now, registry, kService, {}, kUsual,
+  places.SetZonesOut({own_zone});
+  choice = places.Choose(now, registry, sweep, {}, kUsual,
                          placement::purpose::kFirst);
   BOOST_TEST(std::holds_alternative<placement::none_usable>(choice));
 }
--- a/src/libtrefoilmill/process/watch_duty_test.cc
+++ b/src/libtrefoilmill/process/watch_duty_test.cc
@@ -13,6 +13,7 @@
 
 std::vector<host_id> Zone(int count) {
   std::vector<host_id> hosts;
+  hosts.reserve(static_cast<std::size_t>(count));
   for (int number = 0; number < count; ++number) {
     hosts.emplace_back("front-erie-" + std::to_string(number));
   }
--- a/src/libtrefoilmill/request/record_merge_test.cc
+++ b/src/libtrefoilmill/request/record_merge_test.cc
@@ -53,6 +53,7 @@
     expected += all[i];
   }
   std::vector<const std::string*> views;
+  views.reserve(parts.size());
   for (const std::string& part : parts) {
     views.push_back(&part);
   }
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -177,7 +177,7 @@
   }
   shard& s = *held;
   const auto found = std::ranges::find(s.in_flight, id, &attempt::id);
-  const attempt ended = *found;
+  attempt ended = *found;
   s.in_flight.erase(found);
   const send_end how = EndOf(outcome);
   shared.places.OnEnd(now, ended.endpoint, id, UsualLatency(shared, *route_),
--- a/src/libtrefoilmill/version/route_table.cc
+++ b/src/libtrefoilmill/version/route_table.cc
@@ -93,9 +93,9 @@
 }
 
 const service_rules& route_table::RulesOf(const service_id& service) const {
-  static const service_rules kUndeclared;
+  static const service_rules undeclared;
   const auto found = config_.services.find(service);
-  return found == config_.services.end() ? kUndeclared : found->second;
+  return found == config_.services.end() ? undeclared : found->second;
 }
 
 }  // namespace trefoilmill
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -138,8 +138,8 @@
        .target_only = true,
        .max_header_bytes = caller_bounds().max_header_bytes,
        .idle_timeout = caller_bounds().idle_timeout * kIdleFactor},
-      [this](http_request request, http_responder responder) {
-        requests_->Handle(std::move(request), std::move(responder));
+      [this](http_request request, const http_responder& responder) {
+        requests_->Handle(std::move(request), responder);
       });
   if (!callers.has_value()) {
     return callers.error();
--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -291,7 +291,7 @@
   return counted.size();
 }
 
-void peer_task::Apply(membership::actions actions) {
+void peer_task::Apply(const membership::actions& actions) {
   for (const auto& action : actions) {
     std::visit([this](const auto& a) { Do(a); }, action);
   }
--- a/src/trefoilmill_entry/peer_task.h
+++ b/src/trefoilmill_entry/peer_task.h
@@ -63,7 +63,7 @@
             membership members,
             std::mt19937_64 random);
 
-  void Apply(membership::actions actions);
+  void Apply(const membership::actions& actions);
   void Do(const membership::send& action);
   void Do(const membership::connect& action);
   void Do(const membership::changed& action);
--- a/src/trefoilmill_entry/request_task.cc
+++ b/src/trefoilmill_entry/request_task.cc
@@ -83,7 +83,8 @@
   responder.Send(platform::RefusalToCaller(reason, retry_after));
 }
 
-void request_task::Handle(http_request request, http_responder responder) {
+void request_task::Handle(http_request request,
+                          const http_responder& responder) {
   const time_point now = loop_.Now();
   auto read = platform::ReadCallerRequest(request);
   if (!read.has_value()) {
--- a/src/trefoilmill_entry/request_task.h
+++ b/src/trefoilmill_entry/request_task.h
@@ -34,7 +34,7 @@
   void SetLoopDelay(duration delay) { loop_delay_ = delay; }
 
   /// Handles a caller's request.
-  void Handle(http_request request, http_responder responder);
+  void Handle(http_request request, const http_responder& responder);
   /// A connection to the endpoint became idle.
   void OnFree(const endpoint_id& id);
 
--- a/src/trefoilmill_entry/store_task.cc
+++ b/src/trefoilmill_entry/store_task.cc
@@ -96,7 +96,7 @@
   Apply(f, f.follower.OnCopy(std::move(copy)));
 }
 
-void store_task::Apply(followed& f, store_follower::actions actions) {
+void store_task::Apply(followed& f, const store_follower::actions& actions) {
   for (const auto& action : actions) {
     std::visit([&](const auto& a) { Do(f, a); }, action);
   }
@@ -217,15 +217,4 @@
   });
 }
 
-void store_task::Delete(object_kind kind, const std::string& name) {
-  client_.Send(store_, platform::DeleteRequest(kind, name), kCallTimeout,
-               [this, name](http_exchange ended) {
-                 NoteReachable(ended.response.has_value(), "delete");
-                 if (!ended.response.has_value()) {
-                   trace_.log->Info("object may not have been deleted",
-                                    {.document = document_id(name)});
-                 }
-               });
-}
-
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/store_task.h
+++ b/src/trefoilmill_entry/store_task.h
@@ -42,8 +42,6 @@
   /// Keeps an object of this host's own in the store, until the store has
   /// confirmed it.
   void Announce(object_kind kind, std::string name, std::string content);
-  /// Deletes an object, once: a failure is logged and left.
-  void Delete(object_kind kind, const std::string& name);
   /// Whether this host watches the store by itself. Hosts' announcements are
   /// never watched: membership tells of hosts sooner.
   void SetWatching(bool watching);
@@ -61,7 +59,7 @@
  private:
   struct followed;
 
-  void Apply(followed& f, store_follower::actions actions);
+  void Apply(followed& f, const store_follower::actions& actions);
   void Do(followed& f, const store_follower::list_page& action);
   void Do(followed& f, const store_follower::watch& action);
   void Do(followed& f, const store_follower::wake& action);
