--- a/src/trefoilmill_entry/request_task.cc
+++ b/src/trefoilmill_entry/request_task.cc
@@ -334,6 +334,7 @@
   if (ordinary && took <= r.run.matched().objective) {
     return;
   }
+  const bool ran = !std::holds_alternative<refused_answer>(answer);
   const auto number = [](std::size_t n) {
     return static_cast<std::int64_t>(n);
   };
@@ -341,6 +342,7 @@
       "request ended late or incomplete",
       {.request = r.id,
        .reason = counts.last_failure,
+       .outcome = ran ? verdict::kMayHaveRun : verdict::kNotRun,
        .detail = std::string(outcome),
        .inputs = {{"route", r.run.matched().id.value()},
                   {"took_us", took.count()},
