--- a/src/include/trefoilmill/process/placement.h
+++ b/src/include/trefoilmill/process/placement.h
@@ -110,10 +110,6 @@
              duration expected,
              send_end how);
 
-  /// Latency relative to what is usual: 1 is normal, for logs and tests.
-  double SlownessOf(time_point now, const endpoint_id& id) const;
-  double FailureShareOf(time_point now, const endpoint_id& id) const;
-
  private:
   /// An average that fades towards what is normal when nothing new comes.
   struct fading {
--- a/src/libtrefoilmill/process/placement.cc
+++ b/src/libtrefoilmill/process/placement.cc
@@ -257,18 +257,4 @@
   return reports;
 }
 
-double placement::SlownessOf(time_point now, const endpoint_id& id) const {
-  const auto found = seen_.find(id);
-  return found == seen_.end()
-             ? 1
-             : 1 + found->second.slowness.Value(now, kSlownessHalfLife);
-}
-
-double placement::FailureShareOf(time_point now, const endpoint_id& id) const {
-  const auto found = seen_.find(id);
-  return found == seen_.end()
-             ? 0
-             : found->second.failures.Value(now, kFailureHalfLife);
-}
-
 }  // namespace trefoilmill
