Endpoints that left get nothing for the last 1.3 s of their drain time; gaps in feeds are filled within 0.25 s

An entry was kept 2.2 s after the host learned of its end, which leaves 0.8 s for learning; a lost feed costs up to a beat of 0.5 s, a head start of 0.3 s and an interval of 0.2 s. Now 1.7 s are kept where the drain time is 3 s, and the copy is fetched 0.15 to 0.25 s after the beat.

--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -177,17 +177,17 @@
   }
   shard& s = *held;
   const auto found = std::ranges::find(s.in_flight, id, &attempt::id);
-  attempt ended = *found;
+  const endpoint_id endpoint = found->endpoint;
+  const time_point sent = found->sent;
   s.in_flight.erase(found);
   const send_end how = EndOf(outcome);
-  shared.places.OnEnd(now, ended.endpoint, id, UsualLatency(shared, *route_),
-                      how);
+  shared.places.OnEnd(now, endpoint, id, UsualLatency(shared, *route_), how);
   if (const auto* refused = std::get_if<endpoint_refused>(&outcome);
       refused != nullptr && refused->reason == reason_code::kWrongInstance) {
-    shared.registry.Displace(now, ended.endpoint);
+    shared.registry.Displace(now, endpoint);
   }
   if (how == send_end::kAnswered) {
-    shared.latencies[route_->id].Record(now - ended.sent);
+    shared.latencies[route_->id].Record(now - sent);
   }
   if (finished_ || !s.open()) {
     return out;
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -23,8 +23,9 @@
 /// An entry that vanished is kept at most this long: endpoints that lapsed
 /// during an outage of the store are back within two seconds of its return.
 constexpr duration kForgetAfter = std::chrono::milliseconds(2200);
-/// An endpoint that left gets nothing this long before its drain time ends.
-constexpr duration kDrainMargin = std::chrono::milliseconds(700);
+/// An endpoint that left gets nothing this long before its drain time ends:
+/// room for a lost feed, whose gap is filled within a second.
+constexpr duration kDrainMargin = std::chrono::milliseconds(1300);
 /// How long callers may keep the addresses they got.
 constexpr duration kDirectoryTtl = std::chrono::seconds(1);
 /// Addresses in one answer, at most.
--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -23,9 +23,9 @@
 }
 
 constexpr duration kGreetInterval = std::chrono::milliseconds(300);
-constexpr duration kCatchUpInterval = std::chrono::milliseconds(200);
+constexpr duration kCatchUpInterval = std::chrono::milliseconds(100);
 /// A host whose store connection works gets news by itself within this time.
-constexpr duration kStoreHeadStart = std::chrono::milliseconds(300);
+constexpr duration kStoreHeadStart = std::chrono::milliseconds(150);
 /// How often a host that watches the store says so in its zone.
 constexpr duration kBeatInterval = std::chrono::milliseconds(500);
 /// Beats between two readings of the list of hosts.
