--- a/src/trefoilmill_entry/store_task.cc
+++ b/src/trefoilmill_entry/store_task.cc
@@ -100,6 +100,15 @@
                               revision from,
                               object_changes changes) {
   followed& f = *followed_.at(kind);
+  if (f.follower.as_of() < from) {
+    trace_.log->Info(
+        "fed changes leave a gap",
+        {.document = document_id(std::string(ToString(kind))),
+         .at = f.follower.as_of(),
+         .inputs = {
+             {"from", static_cast<std::int64_t>(from.value())},
+             {"as_of", static_cast<std::int64_t>(changes.as_of.value())}}});
+  }
   Apply(f, f.follower.OnFedChanges(from, std::move(changes)));
 }
 
