Changes that the store told are passed on: the call was never wired

Hosts that do not watch learned of each change by a copy, half a second to a second late. Ruled out: lost datagrams and gaps (no line of either in the log).

--- a/src/trefoilmill_entry/store_task.cc
+++ b/src/trefoilmill_entry/store_task.cc
@@ -155,7 +155,7 @@
           Failed(f, changes.error());
           return;
         }
-        Apply(f, f.follower.OnWatch(loop_.Now(), std::move(changes.value())));
+        OnWatchEnded(f, std::move(changes.value()));
       });
 }
 
