--- a/src/trefoilmill_entry/store_task.cc
+++ b/src/trefoilmill_entry/store_task.cc
@@ -142,21 +142,21 @@
 }
 
 void store_task::Do(followed& f, const store_follower::watch& action) {
-  client_.Send(
-      store_, platform::WatchRequest(f.kind, action.since, action.wait),
-      action.wait + kWatchGrace, [this, &f](http_exchange ended) {
-        NoteReachable(ended.response.has_value(), "watch");
-        if (!ended.response.has_value()) {
-          Failed(f, {});
-          return;
-        }
-        auto changes = platform::ParseChanges(*ended.response);
-        if (!changes.has_value()) {
-          Failed(f, changes.error());
-          return;
-        }
-        OnWatchEnded(f, std::move(changes.value()));
-      });
+  client_.Send(store_,
+               platform::WatchRequest(f.kind, action.since, action.wait),
+               action.wait + kWatchGrace, [this, &f](http_exchange ended) {
+                 NoteReachable(ended.response.has_value(), "watch");
+                 if (!ended.response.has_value()) {
+                   Failed(f, {});
+                   return;
+                 }
+                 auto changes = platform::ParseChanges(*ended.response);
+                 if (!changes.has_value()) {
+                   Failed(f, changes.error());
+                   return;
+                 }
+                 OnWatchEnded(f, std::move(changes.value()));
+               });
 }
 
 void store_task::OnWatchEnded(followed& f, watch_result ended) {
