--- a/src/libtmnet/metrics_test.cc
+++ b/src/libtmnet/metrics_test.cc
@@ -26,7 +26,8 @@
                (info.kind == metric_kind::kCounter));
     BOOST_TEST(info.buckets.empty() == (info.kind != metric_kind::kHistogram));
   }
-  BOOST_TEST(ids.size() == static_cast<std::size_t>(metric::kLogLinesDropped) + 1);
+  BOOST_TEST(ids.size() ==
+             static_cast<std::size_t>(metric::kLogLinesDropped) + 1);
 }
 
 BOOST_AUTO_TEST_CASE(values_show_in_the_text) {
