--- a/src/include/trefoilmill/version/routing_config.h
+++ b/src/include/trefoilmill/version/routing_config.h
@@ -60,7 +60,7 @@
   /// The `Host` that callers send, lower case, without a port.
   std::string host;
   /// Begins and ends with a slash.
-  std::string path_prefix;
+  std::string prefix;
   repeat_rule repeats = repeat_rule::kAtMostOnce;
   /// Longest time a caller may be kept waiting.
   duration timeout{};
--- a/src/libtmnet/metrics_table.cc
+++ b/src/libtmnet/metrics_table.cc
@@ -245,7 +245,8 @@
       {metric::kEndpointSends,
        kCounter,
        "trefoilmill_endpoint_sends_total",
-       "Sub-requests handed to endpoints, by purpose: first, hedge or retry.",
+       "Sub-requests handed to endpoints, by purpose: first or extra (hedges "
+       "and retries).",
        {"purpose"},
        {}},
       {metric::kSendBudgetRefusals,
--- a/src/libtrefoilmill/request/request_run_fixture_test.h
+++ b/src/libtrefoilmill/request/request_run_fixture_test.h
@@ -77,7 +77,7 @@
     route r;
     r.id = route_id("sweep");
     r.host = "h";
-    r.path_prefix = "/sweep/";
+    r.prefix = "/sweep/";
     r.repeats = repeat_rule::kIdempotent;
     r.timeout = kTimeout;
     r.objective = kObjective;
@@ -92,7 +92,7 @@
   static route RelayRoute(const std::string& id, repeat_rule repeats) {
     route r = GatherRoute();
     r.id = route_id(id);
-    r.path_prefix = "/" + id + "/";
+    r.prefix = "/" + id + "/";
     r.repeats = repeats;
     r.target = relay_target{{{.service = Service(0)}}};
     return r;
--- a/src/libtrefoilmill/version/route_table.cc
+++ b/src/libtrefoilmill/version/route_table.cc
@@ -29,7 +29,7 @@
 }
 
 std::optional<std::string> Complaint(const route& r) {
-  if (!IsPrefix(r.path_prefix)) {
+  if (!IsPrefix(r.prefix)) {
     return "the path prefix must begin and end with a slash";
   }
   if (!HasTarget(r)) {
@@ -66,7 +66,7 @@
 
 route_table::route_table(routing_config config) : config_(std::move(config)) {
   for (const route& r : config_.routes) {
-    hosts_[LowerHost(r.host)].try_emplace(r.path_prefix, &r);
+    hosts_[LowerHost(r.host)].try_emplace(r.prefix, &r);
   }
 }
 
--- a/src/libtrefoilmill/version/route_table_test.cc
+++ b/src/libtrefoilmill/version/route_table_test.cc
@@ -10,7 +10,7 @@
   route r;
   r.id = route_id(id);
   r.host = "Shop.example";
-  r.path_prefix = prefix;
+  r.prefix = prefix;
   r.target = relay_target{{{.service = service_id("ledger")}}};
   return r;
 }
