Callers are told of the strong hosts; the others stand by

Cause: on the grown sites a query over 36 to 54 shards costs a host of 0.12 cores some 25 ms of its own processor and 16 ms of its link, of an objective of 50 to 100 ms; callers pick at random among the addresses they get, so nine of ten queries met such a host. 91 hosts also kept a connection to each endpoint and each met an endpoint 0.6 times a second, too seldom to learn of pauses.

The directory names hosts of at least half of the strongest one's processor, as long as these are four and hold 15% of the whole strength. The others stand by: they connect to endpoints when asked and reach one replica each, which leaves the connections to the hosts that are named. Hosts tell endpoints' troubles to the hosts that are named, not to their zone.

Ruled out: the bound of connections alone (62 of 78 were handed out, but one a host and replica, on 62 of 91 hosts).

--- a/src/include/trefoilmill/connection/connection_share.h
+++ b/src/include/trefoilmill/connection/connection_share.h
@@ -1,10 +1,11 @@
 /// How many connections this host may keep to an endpoint, so that all hosts
 /// together stay below what the endpoint accepts.
 ///
-/// With fewer hosts than connections each host gets an equal share. Where hosts
-/// outnumber connections, each host leaves out some replicas of every service,
-/// chosen by rendezvous hashing: a host that comes or goes moves few
-/// connections, and every host still reaches two replicas.
+/// Hosts that callers are told of get equal shares; hosts that stand by reach
+/// one replica of every service. Where hosts outnumber connections, each host
+/// leaves out some replicas, chosen by rendezvous hashing: a host that comes or
+/// goes moves few connections, and every host that callers are told of still
+/// reaches two replicas.
 #ifndef TREFOILMILL_CONNECTION_CONNECTION_SHARE_H_
 #define TREFOILMILL_CONNECTION_CONNECTION_SHARE_H_
 
@@ -26,10 +27,20 @@
   int slots = 1;
 };
 
-/// Connections that `self`, one of `hosts` hosts, may keep; 0 if the endpoint
-/// is left to others.
+/// Who keeps connections to endpoints.
+struct connection_sharers {
+  /// Hosts that callers are told of.
+  std::size_t named = 1;
+  /// Further hosts that may send.
+  std::size_t standing_by = 0;
+  /// Whether this host is one of the named.
+  bool is_named = true;
+};
+
+/// Connections that `self`, one of `sharers`, may keep; 0 if the endpoint is
+/// left to others.
 int ConnectionShare(const host_id& self,
-                    std::size_t hosts,
+                    const connection_sharers& sharers,
                     const connection_demand& demand);
 
 }  // namespace trefoilmill
--- a/src/include/trefoilmill/deployment.h
+++ b/src/include/trefoilmill/deployment.h
@@ -166,6 +166,8 @@
   /// Where operators connect.
   socket_address administration;
   state status = state::kLive;
+  /// Processor time it may use, in thousandths of a core; 0 if not known.
+  int millicores = 0;
   friend bool operator==(const host_record&, const host_record&) = default;
 };
 
--- a/src/include/trefoilmill/entry_settings.h
+++ b/src/include/trefoilmill/entry_settings.h
@@ -31,6 +31,10 @@
   std::vector<std::string> seed_ips;
   /// Also serves the metrics there; port 0 serves none.
   std::uint16_t metrics_port = 0;
+  /// Processor time that this host may use, in cores.
+  double processor_share = 1;
+  /// How many times as fast as a usual core that runs.
+  double processor_speed = 1;
   /// From the request to stop until the process is ended by force.
   duration grace = std::chrono::seconds(6);
   /// An endpoint that leaves gets nothing after this long.
--- /dev/null
+++ b/src/include/trefoilmill/process/entry_hosts.h
@@ -0,0 +1,30 @@
+/// Which hosts callers are told to connect to.
+///
+/// Callers pick at random among the addresses they get. A host is therefore
+/// spared only by not being named: hosts that are much weaker than the others
+/// are left out while the stronger ones suffice. The hosts that are left out
+/// stand by; they still serve whoever connects.
+///
+/// Answers the load patterns "uneven hosts" (a query over many shards costs a
+/// weak host longer than its objective) and "many hosts, little traffic" (hosts
+/// that rarely meet an endpoint learn late that it paused).
+#ifndef TREFOILMILL_PROCESS_ENTRY_HOSTS_H_
+#define TREFOILMILL_PROCESS_ENTRY_HOSTS_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "trefoilmill/deployment.h"
+
+namespace trefoilmill {
+
+/// Addresses in one answer to callers, at most.
+inline constexpr std::size_t kMaxEntryHosts = 64;
+
+/// The hosts to name out of those that serve, strongest first. All hosts
+/// compute the same from the same view.
+std::vector<host_record> ChooseEntryHosts(std::vector<host_record> serving);
+
+}  // namespace trefoilmill
+
+#endif  // TREFOILMILL_PROCESS_ENTRY_HOSTS_H_
--- a/src/libtmwire/copy_codec.cc
+++ b/src/libtmwire/copy_codec.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kFieldsOfObject = 3;
+constexpr integer_range kMillicores = {0, 1'000'000};
 
 bool IsObject(const json& item) {
   return item.is_array() && item.size() == kFieldsOfObject &&
@@ -53,7 +54,8 @@
   return Dump(json{{"host", record.id.value()},
                    {"availability_zone", record.zone.value()},
                    {"peers", AddressJson(record.peer)},
-                   {"callers", AddressJson(record.callers)}});
+                   {"callers", AddressJson(record.callers)},
+                   {"millicores", record.millicores}});
 }
 
 result<host_record> ReadHostRecord(const std::string& text) {
@@ -66,6 +68,8 @@
             record.zone);
   reader.Address("peers", presence::kRequired, record.peer);
   reader.Address("callers", presence::kRequired, record.callers);
+  reader.Integer("millicores", kMillicores, presence::kOptional,
+                 record.millicores);
   if (!errors.errors().empty()) {
     return AsFailure(errors);
   }
--- a/src/libtmwire/copy_codec_test.cc
+++ b/src/libtmwire/copy_codec_test.cc
@@ -41,7 +41,8 @@
                          .zone = zone_id("perth"),
                          .peer = {.ip = "10.0.0.1", .port = 7740},
                          .callers = {.ip = "10.0.0.1", .port = 8226},
-                         .administration = {.ip = "10.0.0.1", .port = 7740}};
+                         .administration = {.ip = "10.0.0.1", .port = 7740},
+                         .millicores = 250};
   const auto read = ReadHostRecord(WriteHostRecord(sent));
   BOOST_TEST_REQUIRE(read.has_value());
   BOOST_TEST((read.value() == sent));
--- a/src/libtmwire/entry_settings_codec.cc
+++ b/src/libtmwire/entry_settings_codec.cc
@@ -17,6 +17,7 @@
 constexpr integer_range kPorts = {0, 65535};
 constexpr number_range kRatios = {0, 10};
 constexpr number_range kSlacks = {0, 1e9};
+constexpr number_range kProcessors = {0.001, 1000};
 constexpr number_range kSeconds = {0.1, 3600};
 constexpr time_range kTimes = {milliseconds(1), milliseconds(3'600'000)};
 
@@ -72,6 +73,8 @@
   reader.Integer("metrics_port", kPorts, kOptional, out.metrics_port);
   ReadSocket(reader, "store", out.store);
   ReadSeeds(reader, out.seed_ips);
+  reader.Number("processor_share", kProcessors, kOptional, out.processor_share);
+  reader.Number("processor_speed", kProcessors, kOptional, out.processor_speed);
   ReadSeconds(reader, "grace_s", out.grace);
   reader.Milliseconds("drain_ms", kTimes, kOptional, out.drain);
   reader.Number("extra_send_ratio", kRatios, kOptional, out.extra_sends.ratio);
--- a/src/libtmwire/entry_settings_codec_test.cc
+++ b/src/libtmwire/entry_settings_codec_test.cc
@@ -16,6 +16,7 @@
   "peer_port": 7740,
   "store": "10.200.1.7:8229",
   "seeds": ["10.1.0.39:8224", "10.2.0.33:8224"],
+  "processor_share": 0.25,
   "grace_s": 6,
   "drain_ms": 3000,
   "extra_send_ratio": 0.2,
@@ -39,6 +40,8 @@
   BOOST_TEST(settings.peers.ip == "10.1.0.39");
   BOOST_TEST(settings.peers.port == 7740);
   BOOST_TEST(settings.seed_ips.size() == 2U);
+  BOOST_TEST(settings.processor_share == 0.25);
+  BOOST_TEST(settings.processor_speed == 1);
   BOOST_TEST((settings.grace == std::chrono::seconds(6)));
   BOOST_TEST((settings.drain == std::chrono::seconds(3)));
   BOOST_TEST(settings.extra_sends.slack == 54);
@@ -55,6 +58,7 @@
   for (const auto& [from, to] :
        {std::pair{"\"grace_s\": 6", "\"grace_s\": -1"},
         std::pair{"\"grace_s\": 6", "\"graces\": 6"},
+        std::pair{"\"processor_share\": 0.25", "\"processor_share\": 0"},
         std::pair{"\"peer_port\": 7740", "\"peer_port\": 77400"},
         std::pair{"\"10.2.0.33:8224\"", "7"}, std::pair{"{", "["}}) {
     BOOST_TEST(!ParseEntrySettings(With(from, to), "f").value.has_value(), to);
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -201,7 +201,8 @@
   } else if constexpr (kIs<document_digest, record>) {
     fields(r.id, r.in_force);
   } else if constexpr (kIs<host_record, record>) {
-    fields(r.id, r.zone, r.peer, r.callers, r.administration, r.status);
+    fields(r.id, r.zone, r.peer, r.callers, r.administration, r.status,
+           r.millicores);
   } else if constexpr (kIs<member_update, record>) {
     fields(r.host, r.life, r.state, r.report, r.documents);
   } else if constexpr (kIs<hello_message, record>) {
--- a/src/libtrefoilmill/connection/connection_share.cc
+++ b/src/libtrefoilmill/connection/connection_share.cc
@@ -15,11 +15,24 @@
 constexpr double kHandedOut = 0.8;
 /// Replicas that every host reaches, if there are as many.
 constexpr std::size_t kLeastReplicas = 2;
+/// Replicas that a host reaches while it stands by.
+constexpr std::size_t kStandbyReplicas = 1;
 
 std::uint64_t Preference(const host_id& self, const endpoint_id& endpoint) {
   return RendezvousScore(HashName(self.value()), HashName(endpoint.value()));
 }
 
+/// Whether the endpoint is among the `count` replicas that `self` prefers.
+bool IsPreferred(const host_id& self,
+                 const connection_demand& demand,
+                 std::size_t count) {
+  const std::uint64_t own = Preference(self, demand.endpoint);
+  const auto preferred = std::ranges::count_if(
+      demand.replicas,
+      [&](const endpoint_id& other) { return Preference(self, other) > own; });
+  return static_cast<std::size_t>(preferred) < count;
+}
+
 /// How many replicas one host connects to when there are `connections` for
 /// `hosts` hosts at each.
 std::size_t ReachedReplicas(std::size_t replicas,
@@ -30,24 +43,33 @@
   return std::clamp(fitting, std::min(kLeastReplicas, replicas), replicas);
 }
 
+/// Connections at one endpoint that hosts standing by may take.
+double StandbyConnections(const connection_sharers& sharers,
+                          std::size_t replicas) {
+  return static_cast<double>(sharers.standing_by * kStandbyReplicas) /
+         static_cast<double>(std::max<std::size_t>(replicas, 1));
+}
+
 }  // namespace
 
 int ConnectionShare(const host_id& self,
-                    std::size_t hosts,
+                    const connection_sharers& sharers,
                     const connection_demand& demand) {
-  const double handed_out = kHandedOut * demand.max_connections;
-  const double sharers = static_cast<double>(std::max<std::size_t>(hosts, 1));
-  const int share = static_cast<int>(handed_out / sharers);
+  if (!sharers.is_named) {
+    return IsPreferred(self, demand, kStandbyReplicas) ? 1 : 0;
+  }
+  const double handed_out =
+      std::max(0.0, kHandedOut * demand.max_connections -
+                        StandbyConnections(sharers, demand.replicas.size()));
+  const double named =
+      static_cast<double>(std::max<std::size_t>(sharers.named, 1));
+  const int share = static_cast<int>(handed_out / named);
   if (share >= 1) {
     return std::min(share, demand.slots + 1);
   }
   const std::size_t reached =
-      ReachedReplicas(demand.replicas.size(), handed_out, sharers);
-  const std::uint64_t own = Preference(self, demand.endpoint);
-  const auto preferred = std::ranges::count_if(
-      demand.replicas,
-      [&](const endpoint_id& other) { return Preference(self, other) > own; });
-  return static_cast<std::size_t>(preferred) < reached ? 1 : 0;
+      ReachedReplicas(demand.replicas.size(), handed_out, named);
+  return IsPreferred(self, demand, reached) ? 1 : 0;
 }
 
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/connection/connection_share_test.cc
+++ b/src/libtrefoilmill/connection/connection_share_test.cc
@@ -19,7 +19,7 @@
           std::size_t hosts,
           const endpoint_id& endpoint,
           int max_connections) {
-  return ConnectionShare(self, hosts,
+  return ConnectionShare(self, {.named = hosts},
                          {.replicas = all_replicas,
                           .endpoint = endpoint,
                           .max_connections = max_connections,
@@ -65,9 +65,37 @@
   }
 }
 
+// Pattern: callers are told of 8 strong hosts; 83 weak ones stand by.
+BOOST_AUTO_TEST_CASE(hosts_that_stand_by_leave_the_connections_to_the_others) {
+  constexpr int kNamed = 8;
+  constexpr int kStandingBy = 83;
+  constexpr int kMaxConnections = 78;
+  std::map<endpoint_id, int> connections;
+  for (int number = 0; number < kNamed + kStandingBy; ++number) {
+    int reached = 0;
+    for (const endpoint_id& endpoint : all_replicas) {
+      const bool is_named = number < kNamed;
+      const int share = ConnectionShare(
+          Host(number),
+          {.named = kNamed, .standing_by = kStandingBy, .is_named = is_named},
+          {.replicas = all_replicas,
+           .endpoint = endpoint,
+           .max_connections = kMaxConnections,
+           .slots = 4});
+      connections[endpoint] += share;
+      reached += share > 0 ? 1 : 0;
+      BOOST_TEST(share >= (is_named ? 3 : 0));
+    }
+    BOOST_TEST(reached >= 1);
+  }
+  for (const auto& [endpoint, count] : connections) {
+    BOOST_TEST(count <= kMaxConnections, endpoint);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_single_replica_is_reached_by_all) {
   const std::set<endpoint_id> only = {endpoint_id("a")};
-  BOOST_TEST(ConnectionShare(Host(1), 1000,
+  BOOST_TEST(ConnectionShare(Host(1), {.named = 1000},
                              {.replicas = only,
                               .endpoint = endpoint_id("a"),
                               .max_connections = 10}) == 1);
--- /dev/null
+++ b/src/libtrefoilmill/process/entry_hosts_test.cc
@@ -0,0 +1,76 @@
+#define BOOST_TEST_MODULE entry_hosts
+#include "trefoilmill/process/entry_hosts.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace trefoilmill {
+namespace {
+
+std::vector<host_record> Hosts(int count, int millicores, char first = 'a') {
+  std::vector<host_record> hosts;
+  for (int number = 0; number < count; ++number) {
+    host_record host;
+    host.id = host_id(std::string(1, first) + std::to_string(100 + number));
+    host.millicores = millicores;
+    hosts.push_back(host);
+  }
+  return hosts;
+}
+
+std::vector<host_record> operator+(std::vector<host_record> some,
+                                   const std::vector<host_record>& more) {
+  some.insert(some.end(), more.begin(), more.end());
+  return some;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(equal_hosts_are_all_named) {
+  BOOST_TEST(ChooseEntryHosts(Hosts(9, 250)).size() == 9U);
+  BOOST_TEST(ChooseEntryHosts(Hosts(9, 0)).size() == 9U);
+  BOOST_TEST(ChooseEntryHosts({}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_has_a_greatest_length) {
+  BOOST_TEST(ChooseEntryHosts(Hosts(200, 250)).size() == kMaxEntryHosts);
+}
+
+// Pattern: 8 hosts of half a core beside 83 of an eighth.
+BOOST_AUTO_TEST_CASE(strong_hosts_spare_the_weak_ones) {
+  const auto named = ChooseEntryHosts(Hosts(83, 120) + Hosts(8, 500, 'z'));
+  BOOST_TEST(named.size() == 8U);
+  BOOST_TEST(std::ranges::all_of(
+      named, [](const host_record& host) { return host.millicores == 500; }));
+}
+
+// Pattern: strong hosts die one after the other.
+BOOST_AUTO_TEST_CASE(weak_hosts_take_over_as_strong_ones_are_lost) {
+  std::size_t weak_before = 0;
+  for (int strong = 8; strong >= 0; --strong) {
+    const auto named =
+        ChooseEntryHosts(Hosts(83, 120) + Hosts(strong, 500, 'z'));
+    const auto weak = static_cast<std::size_t>(
+        std::ranges::count(named, 120, &host_record::millicores));
+    BOOST_TEST(named.size() >= 4U);
+    BOOST_TEST(weak >= weak_before);
+    weak_before = weak;
+  }
+  BOOST_TEST(weak_before == kMaxEntryHosts);
+}
+
+BOOST_AUTO_TEST_CASE(all_hosts_choose_alike_whatever_the_order) {
+  auto hosts = Hosts(20, 120) + Hosts(5, 500, 'z');
+  const auto named = ChooseEntryHosts(hosts);
+  std::ranges::reverse(hosts);
+  BOOST_TEST((ChooseEntryHosts(hosts) == named));
+}
+
+BOOST_AUTO_TEST_CASE(one_strong_host_does_not_stand_alone) {
+  const auto named = ChooseEntryHosts(Hosts(10, 120) + Hosts(1, 500, 'z'));
+  BOOST_TEST(named.size() == 4U);
+  BOOST_TEST(named.front().millicores == 500);
+}
+
+}  // namespace trefoilmill
--- a/src/trefoilmill_entry/endpoint_links.cc
+++ b/src/trefoilmill_entry/endpoint_links.cc
@@ -15,6 +15,8 @@
 constexpr duration kIdleMargin = std::chrono::milliseconds(1500);
 /// Assumed while an endpoint does not say how long it keeps connections.
 constexpr duration kUnstatedIdleTimeout = std::chrono::seconds(30);
+/// How long a host that stands by keeps an idle connection.
+constexpr duration kStandbyIdle = std::chrono::seconds(4);
 constexpr std::size_t kMaxReplyBytes = 4 << 20;
 /// Pauses before a new attempt after the endpoint closed a connection unused:
 /// it has more connections than it accepts.
@@ -88,6 +90,23 @@
   }
 }
 
+void endpoint_links::SetStandby(bool standby) {
+  if (standby == standby_) {
+    return;
+  }
+  standby_ = standby;
+  for (auto& p : pools_ | std::views::values) {
+    EnsureSpare(*p);
+  }
+}
+
+void endpoint_links::OpenFor(const endpoint_id& id) {
+  const auto found = pools_.find(id);
+  if (found != pools_.end()) {
+    OpenIfAllowed(*found->second);
+  }
+}
+
 void endpoint_links::Remove(const endpoint_id& id) {
   const auto found = pools_.find(id);
   if (found == pools_.end()) {
@@ -256,6 +275,12 @@
 }
 
 void endpoint_links::EnsureSpare(pool& p) {
+  if (!standby_) {
+    OpenIfAllowed(p);
+  }
+}
+
+void endpoint_links::OpenIfAllowed(pool& p) {
   if (p.removed || p.IsOpening() || p.Idle() != p.links.end() ||
       static_cast<int>(p.links.size()) >= p.most || loop_.Now() < p.reopen_at) {
     return;
@@ -266,7 +291,8 @@
 void endpoint_links::Tick() {
   const time_point now = loop_.Now();
   for (auto& p : pools_ | std::views::values) {
-    const duration longest = p->idle_timeout - kIdleMargin;
+    const duration kept = p->idle_timeout - kIdleMargin;
+    const duration longest = standby_ ? std::min(kept, kStandbyIdle) : kept;
     std::vector<link*> expired;
     for (const auto& l : p->links) {
       const bool idle = !l->connecting && !l->busy;
--- a/src/trefoilmill_entry/endpoint_links.h
+++ b/src/trefoilmill_entry/endpoint_links.h
@@ -31,6 +31,11 @@
   /// Opens a first connection. `most`: connections at the same time.
   void Add(const endpoint_id& id, const socket_address& address, int most);
   void SetMost(const endpoint_id& id, int most);
+  /// While it stands by, connections are opened when they are asked for and
+  /// closed soon after their last use.
+  void SetStandby(bool standby);
+  /// A request waits for a connection to the endpoint.
+  void OpenFor(const endpoint_id& id);
   /// Closes idle connections at once, others with their reply.
   void Remove(const endpoint_id& id);
 
@@ -62,12 +67,14 @@
   void Drop(pool& p, const link& l);
   void Publish(pool& p);
   void EnsureSpare(pool& p);
+  void OpenIfAllowed(pool& p);
 
   event_loop& loop_;
   std::string local_ip_;
   placement& places_;
   telemetry& trace_;
   std::function<void(const endpoint_id&)> on_free_;
+  bool standby_ = false;
   std::map<endpoint_id, std::unique_ptr<pool>> pools_;
   /// Pools of endpoints that are gone, with requests still in flight.
   std::vector<std::unique_ptr<pool>> retiring_;
--- a/src/trefoilmill_entry/endpoint_links_test.cc
+++ b/src/trefoilmill_entry/endpoint_links_test.cc
@@ -88,6 +88,23 @@
   BOOST_TEST(peer.accepted() <= 2);
 }
 
+// Seen on lakeshore-ops-grown: 83 hosts that callers hardly use kept a
+// connection to each of 283 endpoints.
+BOOST_FIXTURE_TEST_CASE(a_host_that_stands_by_connects_when_asked, fixture) {
+  const raw_server peer(*loop, kReply, raw_action::kIgnore);
+  links.SetStandby(true);
+  links.Add(a, {kTestIp, peer.port()}, 1);
+  RunFor(*loop, milliseconds(20));
+  BOOST_TEST(links.open_connections() == 0U);
+  links.OpenFor(a);
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return freed > 0; }));
+  BOOST_TEST(links.Send(a, attempt_id(1), Request(), seconds(10),
+                        [](const http_exchange&) {}));
+  links.SetStandby(false);
+  links.Add(b, {kTestIp, peer.port()}, 1);
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return freed > 1; }));
+}
+
 BOOST_FIXTURE_TEST_CASE(removing_an_endpoint_cuts_off_no_request, fixture) {
   const raw_server peer(*loop, kReply, raw_action::kIgnore);
   Open(a, peer);
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -12,6 +12,7 @@
 #include "platform/headers.h"
 #include "platform/http_dialect.h"
 #include "trefoilmill/connection/connection_share.h"
+#include "trefoilmill/process/entry_hosts.h"
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill/wire/entry_settings_codec.h"
 
@@ -20,6 +21,7 @@
 
 /// Housekeeping: idle connections, lapsed entries, log lines, loop delay.
 constexpr duration kTickInterval = std::chrono::milliseconds(100);
+constexpr int kTicksPerHostCheck = 5;
 /// An entry that vanished is kept at most this long: endpoints that lapsed
 /// during an outage of the store are back within two seconds of its return.
 constexpr duration kForgetAfter = std::chrono::milliseconds(2200);
@@ -28,8 +30,6 @@
 constexpr duration kDrainMargin = std::chrono::milliseconds(1300);
 /// How long callers may keep the addresses they got.
 constexpr duration kDirectoryTtl = std::chrono::seconds(1);
-/// Addresses in one answer, at most.
-constexpr std::size_t kMaxAddresses = 64;
 /// Before the end of the grace time: stop taking requests, and end in any case.
 constexpr duration kStopTakingBefore = std::chrono::milliseconds(1500);
 constexpr duration kEndBefore = std::chrono::milliseconds(300);
@@ -116,7 +116,7 @@
   }
   auto peers = peer_task::Create(
       loop, settings, *made->store_, made->shared_.places, made->trace_,
-      [self] { self->ShareOut(); }, std::mt19937_64(random()));
+      [self] { self->OnHostsChanged(); }, std::mt19937_64(random()));
   if (!peers.has_value()) {
     return peers.error();
   }
@@ -201,6 +201,9 @@
       break;
   }
   peers_->PublishDigests();
+  if (kind == object_kind::kConfiguration) {
+    OnHostsChanged();
+  }
 }
 
 void entry_process::OnChanged(object_kind kind, const object_event& event) {
@@ -359,14 +362,50 @@
   if (table_ == nullptr) {
     return 0;
   }
+  const std::size_t hosts = peers_->CountedHosts();
+  const std::size_t named = std::min(entry_hosts_.size(), hosts);
   return ConnectionShare(
-      settings_.host, peers_->CountedHosts(),
+      settings_.host,
+      {.named = named, .standing_by = hosts - named, .is_named = IsEntryHost()},
       {.replicas = shared_.registry.OfService(record.service),
        .endpoint = record.id,
        .max_connections = table_->RulesOf(record.service).max_connections,
        .slots = record.slots});
 }
 
+bool entry_process::IsEntryHost() const {
+  return entry_hosts_.empty() ||
+         std::ranges::find(entry_hosts_, settings_.host, &host_record::id) !=
+             entry_hosts_.end();
+}
+
+void entry_process::OnHostsChanged() {
+  RefreshEntryHosts();
+  ShareOut();
+}
+
+bool entry_process::RefreshEntryHosts() {
+  // A host that leaves goes on serving as before.
+  if (peers_ == nullptr || leaving_) {
+    return false;
+  }
+  auto chosen = ChooseEntryHosts(peers_->ServingHosts());
+  if (chosen == entry_hosts_) {
+    return false;
+  }
+  const bool was_named = IsEntryHost();
+  entry_hosts_ = std::move(chosen);
+  peers_->SetEntryHosts(entry_hosts_);
+  if (IsEntryHost() != was_named) {
+    trace_.log->Info(
+        was_named ? "standing by: callers are told of stronger hosts"
+                  : "callers are told of this host",
+        {.inputs = {{"named", static_cast<std::int64_t>(entry_hosts_.size())},
+                    {"millicores", peers_->self().millicores}}});
+  }
+  return true;
+}
+
 void entry_process::ShareOut() {
   if (peers_ == nullptr) {
     return;
@@ -377,6 +416,7 @@
   for (const auto& [id, held] : shared_.registry.entries()) {
     links_->SetMost(id, MostConnections(held.record));
   }
+  links_->SetStandby(!IsEntryHost());
 }
 
 bool entry_process::is_ready() const {
@@ -407,15 +447,12 @@
     return;
   }
   std::vector<socket_address> addresses;
-  std::ranges::transform(peers_->ServingHosts(), std::back_inserter(addresses),
-                         &host_record::callers);
+  std::ranges::transform(ChooseEntryHosts(peers_->ServingHosts()),
+                         std::back_inserter(addresses), &host_record::callers);
   if (addresses.empty()) {
     responder.Send({.status = 503});
     return;
   }
-  if (addresses.size() > kMaxAddresses) {
-    addresses.resize(kMaxAddresses);
-  }
   responder.Send(platform::EntryAddresses(addresses, kDirectoryTtl));
 }
 
@@ -427,6 +464,10 @@
   trace_.values->Observe(metric::kLoopDelay, std::max(late, duration::zero()));
   Apply(shared_.registry.Tick(now));
   links_->Tick();
+  // Hosts that become ready do not change their state.
+  if (++ticks_ % kTicksPerHostCheck == 0 && RefreshEntryHosts()) {
+    ShareOut();
+  }
   trace_.values->Set(metric::kEndpointsKnown,
                      static_cast<double>(shared_.registry.entries().size()));
   trace_.values->Set(metric::kLogLinesDropped,
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -44,7 +44,12 @@
   void AdoptEndpoints();
   void PutEndpoint(const stored_object& object);
   void Apply(const endpoint_registry::changes& changes);
+  /// Hosts came or went: who serves callers, and this host's shares.
+  void OnHostsChanged();
+  /// Whether callers are now told of other hosts than before.
+  bool RefreshEntryHosts();
   void ShareOut();
+  bool IsEntryHost() const;
   int MostConnections(const endpoint_record& record) const;
   bool is_ready() const;
   void ReportReady();
@@ -65,11 +70,14 @@
   telemetry trace_;
   traffic shared_;
   std::shared_ptr<const route_table> table_;
+  /// The hosts that callers are told of.
+  std::vector<host_record> entry_hosts_;
   bool endpoints_known_ = false;
   bool was_ready_ = false;
   bool leaving_ = false;
   time_point end_by_;
   time_point last_tick_;
+  int ticks_ = 0;
   std::unique_ptr<endpoint_links> links_;
   std::unique_ptr<request_task> requests_;
   std::unique_ptr<store_task> store_;
--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -1,6 +1,7 @@
 #include "trefoilmill_entry/peer_task.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 #include <utility>
 
@@ -33,7 +34,7 @@
 /// How often hosts tell of endpoints that are not well, and of how many.
 constexpr duration kReportInterval = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxReports = 24;
-/// Up to this many hosts, feeds and reports go to other zones as well.
+/// Up to this many receivers, feeds and reports go to other zones as well.
 constexpr std::size_t kSmallFleet = 16;
 /// Content of changes that one datagram may carry.
 constexpr std::size_t kMaxFedBytes = 16384;
@@ -41,6 +42,11 @@
 constexpr std::size_t kMaxCopyBytes = 8 << 20;
 constexpr char kCopiesPath[] = "/copies/";
 
+int MillicoresOf(const entry_settings& settings) {
+  const double cores = settings.processor_share * settings.processor_speed;
+  return static_cast<int>(std::lround(1000 * cores));
+}
+
 document_id DigestName(object_kind kind) {
   return document_id(std::string(ToString(kind)));
 }
@@ -71,7 +77,8 @@
                    .zone = settings.zone,
                    .peer = settings.peers,
                    .callers = settings.callers,
-                   .administration = settings.peers};
+                   .administration = settings.peers,
+                   .millicores = MillicoresOf(settings)};
   auto members =
       membership::Create(loop.Now(), self, incarnation(loop.WallMicros()),
                          MembershipConfig(), random);
@@ -220,7 +227,23 @@
   if (told.reports.size() > kMaxReports) {
     told.reports.resize(kMaxReports);
   }
-  SendToZone(told);
+  const std::string frame = EncodePeerFrame({.sent = {}, .message = told});
+  const bool everywhere = entry_hosts_.size() <= kSmallFleet;
+  for (const host_record& host : entry_hosts_) {
+    if (host.id != self_.id && (everywhere || host.zone == self_.zone)) {
+      SendTo(host, frame);
+    }
+  }
+}
+
+void peer_task::SetEntryHosts(std::vector<host_record> hosts) {
+  entry_hosts_ = std::move(hosts);
+}
+
+void peer_task::SendTo(const host_record& host, const std::string& frame) {
+  trace_.values->Count(metric::kPeerBytes, {"control", "out"},
+                       static_cast<double>(frame.size()));
+  socket_->Send(host.peer, frame);
 }
 
 void peer_task::SendToZone(const peer_message& message) {
@@ -232,9 +255,7 @@
         m.state == member_state::kAlive || m.state == member_state::kSuspect;
     const bool near = everywhere || m.host.zone == self_.zone;
     if (id != self_.id && near && reachable) {
-      trace_.values->Count(metric::kPeerBytes, {"control", "out"},
-                           static_cast<double>(bytes.size()));
-      socket_->Send(m.host.peer, bytes);
+      SendTo(m.host, bytes);
     }
   }
 }
--- a/src/trefoilmill_entry/peer_task.h
+++ b/src/trefoilmill_entry/peer_task.h
@@ -51,6 +51,8 @@
   /// divisor of shares.
   std::size_t CountedHosts() const;
   const host_record& self() const { return self_; }
+  /// The hosts that callers are told of: they are told of endpoints' troubles.
+  void SetEntryHosts(std::vector<host_record> hosts);
 
  private:
   peer_task(event_loop& loop,
@@ -78,6 +80,7 @@
   /// host is to watch.
   void Beat();
   void SendToZone(const peer_message& message);
+  void SendTo(const host_record& host, const std::string& frame);
   /// Tells of endpoints that are not well.
   void Report();
   std::vector<document_digest> Digests() const;
@@ -95,6 +98,7 @@
   membership members_;
   std::map<host_id, socket_address> addresses_;
   std::map<socket_address, host_id> ids_;
+  std::vector<host_record> entry_hosts_;
   watch_duty duty_;
   bool watching_ = true;
   int beats_ = 0;
--- a/src/trefoilmill_entry/request_task.cc
+++ b/src/trefoilmill_entry/request_task.cc
@@ -161,6 +161,9 @@
                       const request_run::await_capacity& action) {
   waiting_[action.service][r.run.matched().priority].push_back(
       {.run = number, .shard = action.shard});
+  for (const endpoint_id& id : shared_.registry.OfService(action.service)) {
+    links_.OpenFor(id);
+  }
 }
 
 void request_task::Do(run_number /*number*/,
