--- a/src/include/trefoilmill/wire/deployment_codec.h
+++ b/src/include/trefoilmill/wire/deployment_codec.h
@@ -62,7 +62,7 @@
 std::optional<template_reference> TemplateFileOf(const std::string& text);
 
 /// What a file of JSON with comments is about.
-enum class file_kind { kDaemonSettings, kDeployment };
+enum class file_kind { kDaemonSettings, kEntrySettings, kDeployment };
 
 /// Guesses from the top-level keys; a deployment if nothing tells.
 file_kind GuessFileKind(const std::string& text);
--- a/src/include/trefoilmill/wire/log_codec.h
+++ b/src/include/trefoilmill/wire/log_codec.h
@@ -51,6 +51,23 @@
 /// One line without its end.
 std::string WriteLogRecord(const log_record& record);
 
+/// A line as people and tools look for it.
+struct read_log_line {
+  /// As written: sorts by time.
+  std::string time;
+  host_id host;
+  std::string message;
+  request_id request;
+  endpoint_id endpoint;
+  /// The other members as "name=value", in the order of their names.
+  std::string details;
+  /// The line itself.
+  std::string text;
+};
+
+/// nullopt if it is not a line that WriteLogRecord() writes.
+std::optional<read_log_line> ReadLogLine(const std::string& line);
+
 }  // namespace trefoilmill
 
 #endif  // TREFOILMILL_WIRE_LOG_CODEC_H_
--- a/src/libtmwire/deployment_codec.cc
+++ b/src/libtmwire/deployment_codec.cc
@@ -227,6 +227,9 @@
   };
   const bool is_deployment =
       has("template") || has("template_file") || has("parameters");
+  if (!is_deployment && (has("readiness") || has("availability_zone"))) {
+    return file_kind::kEntrySettings;
+  }
   const bool is_settings = has("host") || has("callers") || has("peers") ||
                            has("administration") || has("store");
   return is_settings && !is_deployment ? file_kind::kDaemonSettings
--- a/src/libtmwire/log_codec.cc
+++ b/src/libtmwire/log_codec.cc
@@ -1,9 +1,12 @@
 #include "trefoilmill/wire/log_codec.h"
 
+#include <array>
 #include <nlohmann/json.hpp>
+#include <ranges>
 
 #include "time_text.h"
 #include "trefoilmill/wire/settings_codec.h"
+#include "wire_json.h"
 
 namespace trefoilmill {
 namespace {
@@ -17,6 +20,23 @@
   }
 }
 
+/// Members that have a field of their own in read_log_line.
+constexpr std::array<std::string_view, 6> kNamedMembers = {
+    "time", "level", "host", "message", "request", "endpoint"};
+
+std::string DetailsOf(const json& record) {
+  std::string details;
+  for (const auto& [name, value] : record.items()) {
+    if (std::ranges::find(kNamedMembers, name) != kNamedMembers.end()) {
+      continue;
+    }
+    details += details.empty() ? "" : " ";
+    details += name + "=";
+    details += value.is_string() ? value.get<std::string>() : value.dump();
+  }
+  return details;
+}
+
 }  // namespace
 
 std::string WriteLogRecord(const log_record& record) {
@@ -50,4 +70,24 @@
                   ordered::error_handler_t::replace);
 }
 
+std::optional<read_log_line> ReadLogLine(const std::string& line) {
+  const json record = ParseStrictJson(line);
+  const auto time = FindText(record, "time");
+  const auto host = FindText(record, "host");
+  const auto message = FindText(record, "message");
+  if (!time.has_value() || !host.has_value() || !message.has_value()) {
+    return std::nullopt;
+  }
+  const auto text = [&record](const char* name) {
+    return FindText(record, name).value_or("");
+  };
+  return read_log_line{.time = *time,
+                       .host = host_id(*host),
+                       .message = *message,
+                       .request = request_id(text("request")),
+                       .endpoint = endpoint_id(text("endpoint")),
+                       .details = DetailsOf(record),
+                       .text = line};
+}
+
 }  // namespace trefoilmill
--- a/src/trefoilmillctl/command_line.cc
+++ b/src/trefoilmillctl/command_line.cc
@@ -25,6 +25,7 @@
   trefoilmillctl zone out perth --wait
   trefoilmillctl query --service kiosk-counter-3 --body 'milk' --json
   trefoilmillctl timeline --request r-17 --format chrome --out r-17.json
+  trefoilmillctl explain 08750318a8aec8e2 logs/front-*.jsonl
 
 `trefoilmillctl COMMAND --help` has more on each.
 )";
@@ -59,6 +60,7 @@
     AddOperations();
     AddCallers();
     AddTimeline();
+    AddExplain();
   }
 
   std::variant<parsed_command, exit_code> Parse(int argc,
@@ -145,7 +147,8 @@
   void AddFiles() {
     auto validate = std::make_shared<validate_options>();
     CLI::App* added = AddCommand(
-        "validate", "Check deployments and daemon settings; change nothing.",
+        "validate",
+        "Check deployments and processes' settings; change nothing.",
         "Prints each error as FILE:LINE: KEY: what is wrong. Exit status 3 if "
         "there is one.",
         validate);
@@ -320,6 +323,26 @@
                     "Ask only the --admin addresses, not all hosts.");
   }
 
+  void AddExplain() {
+    auto explain = std::make_shared<explain_options>();
+    CLI::App* added = AddCommand(
+        "explain",
+        "Show what happened to one request, from the logs of all hosts.",
+        "Needs no daemon. Exit status 1 if no line names the request.\n"
+        "Example: cat logs/*.jsonl | trefoilmillctl explain 08750318a8aec8e2",
+        explain);
+    added
+        ->add_option_function<std::string>(
+            "REQUEST",
+            [explain](const std::string& text) {
+              explain->request = request_id(text);
+            },
+            "The request's id.")
+        ->required();
+    added->add_option("FILE", explain->files,
+                      "Log files; - reads standard input, the default.");
+  }
+
   template <class id>
   static void AddId(CLI::App* to,
                     const std::string& name,
--- a/src/trefoilmillctl/commands.h
+++ b/src/trefoilmillctl/commands.h
@@ -46,6 +46,9 @@
 exit_code Run(const common_options& common,
               daemon_api& api,
               const timeline_options& options);
+exit_code Run(const common_options& common,
+              daemon_api& api,
+              const explain_options& options);
 
 /// @name Shared between commands
 /// @{
--- a/src/trefoilmillctl/files.cc
+++ b/src/trefoilmillctl/files.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "trefoilmill/wire/deployment_codec.h"
+#include "trefoilmill/wire/entry_settings_codec.h"
 #include "trefoilmill/wire/settings_codec.h"
 
 namespace trefoilmill {
@@ -94,9 +95,15 @@
   if (!text.has_value()) {
     return {Unreadable(file)};
   }
-  return GuessFileKind(*text) == file_kind::kDaemonSettings
-             ? ParseDaemonSettings(*text, file).errors
-             : LoadDeployment(file).errors;
+  switch (GuessFileKind(*text)) {
+    case file_kind::kDaemonSettings:
+      return ParseDaemonSettings(*text, file).errors;
+    case file_kind::kEntrySettings:
+      return ParseEntrySettings(*text, file).errors;
+    case file_kind::kDeployment:
+      break;
+  }
+  return LoadDeployment(file).errors;
 }
 
 void PrintErrors(const std::vector<config_error>& errors, bool as_json) {
--- a/src/trefoilmillctl/files.h
+++ b/src/trefoilmillctl/files.h
@@ -30,7 +30,7 @@
 /// Reads `file`, and the template that it names, relative to it.
 load_outcome LoadDeployment(const std::string& file);
 
-/// All errors of a deployment or of a daemon's settings, whichever it is.
+/// All errors of a deployment or of a process's settings, whichever it is.
 std::vector<config_error> CheckFile(const std::string& file);
 
 /// Prints each error on a line of its own, or all as JSON.
--- a/src/trefoilmillctl/options.h
+++ b/src/trefoilmillctl/options.h
@@ -108,6 +108,12 @@
   bool only = false;
 };
 
+struct explain_options {
+  request_id request;
+  /// Log files; "-" reads standard input.
+  std::vector<std::string> files = {"-"};
+};
+
 using command = std::variant<validate_options,
                              render_options,
                              apply_options,
@@ -118,7 +124,8 @@
                              entries_options,
                              query_options,
                              cancel_options,
-                             timeline_options>;
+                             timeline_options,
+                             explain_options>;
 
 }  // namespace trefoilmill
 
