Fewer calls to the store: first lists may be stale, watchers take turns

Each of 74 hosts listed four kinds at full price and began three watches before it knew of its peers, and when the watchers of a zone were turned away all others watched for the whole time.

A first list may be seconds old, at a tenth of the price: what it lacks is watched for or heard from peers. After lost history the list is exact. Hosts begin to watch only when the first beat has told who is to, the next one in line after 1 s without a feed and each further one 0.15 s later; any host that watches feeds the others, so that the rest stay quiet. Its first watch comes back at once and shows that the store answers. Changes of endpoints are collected for 0.25 s.

--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -41,6 +41,9 @@
   /// @{
   struct list_page {
     std::string after;
+    /// An older state of the store does: what follows it is watched or heard
+    /// from peers. Such a call costs less.
+    bool may_be_stale = false;
   };
   struct watch {
     revision since;
@@ -105,6 +108,12 @@
   time_point resume_at_;
   /// The store's content was read by this process.
   bool listed_ = false;
+  /// The next list must show the store's latest state: an older one may lie
+  /// before the history that the store still has.
+  bool exact_list_ = false;
+  /// The last call was a watch: the next one need not prove that the store
+  /// answers.
+  bool was_watching_ = false;
   int failures_ = 0;
   time_point last_answer_;
   revision as_of_;
--- a/src/libtrefoilmill/process/watch_duty.cc
+++ b/src/libtrefoilmill/process/watch_duty.cc
@@ -17,22 +17,23 @@
 
 }  // namespace
 
-watch_duty::watch_duty(host_id self,
-                       const config& settings,
-                       time_point now,
-                       std::mt19937_64 random)
-    : self_(std::move(self)), config_(settings), last_feed_(now) {
-  std::uniform_int_distribution<duration::rep> drawn(
-      config_.least_patience.count(), config_.most_patience.count());
-  patience_ = duration(drawn(random));
-}
+watch_duty::watch_duty(host_id self, const config& settings, time_point now)
+    : self_(std::move(self)),
+      config_(settings),
+      patience_(settings.patience),
+      last_feed_(now) {}
 
 void watch_duty::SetZoneHosts(const std::vector<host_id>& hosts) {
   const std::uint64_t own = RankOf(self_);
   const auto before = std::ranges::count_if(hosts, [&](const host_id& other) {
     return other != self_ && RankOf(other) > own;
   });
-  chosen_ = static_cast<std::size_t>(before) < config_.watchers;
+  const auto rank = static_cast<std::size_t>(before);
+  chosen_ = rank < config_.watchers;
+  const auto behind =
+      static_cast<duration::rep>(chosen_ ? 0 : rank - config_.watchers);
+  patience_ = std::min(config_.most_patience,
+                       config_.patience + config_.patience_step * behind);
 }
 
 void watch_duty::OnFreshFeed(time_point now) {
--- a/src/libtrefoilmill/process/watch_duty_test.cc
+++ b/src/libtrefoilmill/process/watch_duty_test.cc
@@ -23,8 +23,7 @@
 std::vector<watch_duty> Duties(const std::vector<host_id>& hosts) {
   std::vector<watch_duty> duties;
   for (std::size_t i = 0; i < hosts.size(); ++i) {
-    duties.emplace_back(hosts[i], watch_duty::config(), time_point(),
-                        std::mt19937_64(i));
+    duties.emplace_back(hosts[i], watch_duty::config(), time_point());
     duties.back().SetZoneHosts(hosts);
   }
   return duties;
@@ -57,10 +56,11 @@
 BOOST_AUTO_TEST_CASE(without_a_fresh_feed_the_others_watch_one_by_one) {
   auto duties = Duties(Zone(20));
   const watch_duty::config config;
-  BOOST_TEST(CountWatching(duties, time_point() + config.least_patience) == 2);
-  const auto midway = CountWatching(duties, time_point() + milliseconds(1300));
+  BOOST_TEST(CountWatching(duties, time_point() + config.patience) == 2);
+  const auto midway = CountWatching(duties, time_point() + milliseconds(1400));
   BOOST_TEST(midway > 2);
-  BOOST_TEST(midway < 20);
+  // A beat passes before the first of them is heard.
+  BOOST_TEST(midway <= 5);
   BOOST_TEST(CountWatching(duties, time_point() + seconds(3)) == 20);
   for (watch_duty& duty : duties) {
     duty.OnFreshFeed(time_point() + seconds(3));
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -41,14 +41,18 @@
 store_follower::actions store_follower::Next() {
   if (listed_ && !watching_) {
     stage_ = stage::kIdle;
+    was_watching_ = false;
     return {};
   }
   if (listed_) {
     stage_ = stage::kWatching;
-    return {watch{.since = as_of_, .wait = config_.watch_wait}};
+    // The first watch comes back at once: it shows that the store answers.
+    const duration wait = was_watching_ ? config_.watch_wait : duration::zero();
+    was_watching_ = true;
+    return {watch{.since = as_of_, .wait = wait}};
   }
   stage_ = stage::kListing;
-  return {list_page{.after = after_}};
+  return {list_page{.after = after_, .may_be_stale = !exact_list_}};
 }
 
 store_follower::actions store_follower::SetWatching(bool watching) {
@@ -82,6 +86,7 @@
   }
   after_.clear();
   listed_ = true;
+  exact_list_ = false;
   actions out;
   // A peer may have shown a later revision while the list was read.
   if (pages_as_of_ >= as_of_) {
@@ -126,6 +131,7 @@
   last_answer_ = now;
   if (std::holds_alternative<history_gone>(result)) {
     listed_ = false;
+    exact_list_ = true;
     after_.clear();
     return Next();
   }
--- a/src/libtrefoilmill/version/store_follower_test.cc
+++ b/src/libtrefoilmill/version/store_follower_test.cc
@@ -92,7 +92,10 @@
   follower.Start();
   Resume(List({Object("a", 3)}, 5));
   const auto gone = follower.OnWatch(now, history_gone{});
-  BOOST_TEST(Find<store_follower::list_page>(gone) != nullptr);
+  const auto* page = Find<store_follower::list_page>(gone);
+  BOOST_TEST_REQUIRE(page != nullptr);
+  // An older state of the store would lie before its history again.
+  BOOST_TEST(!page->may_be_stale);
   List({Object("c", 9)}, 10);
   BOOST_TEST(!follower.objects().contains("a"));
   BOOST_TEST(follower.objects().contains("c"));
@@ -112,6 +115,27 @@
   BOOST_TEST(!follower.is_fresh(now));
 }
 
+// Pattern: many hosts start at once, at a price per call.
+BOOST_FIXTURE_TEST_CASE(the_first_list_may_be_stale_and_is_watched_on,
+                        fixture) {
+  const auto first = follower.Start();
+  BOOST_TEST_REQUIRE(Find<store_follower::list_page>(first) != nullptr);
+  BOOST_TEST(Find<store_follower::list_page>(first)->may_be_stale);
+  const auto watched = Resume(List({Object("a", 3)}, 5));
+  const auto* probe = Find<store_follower::watch>(watched);
+  BOOST_TEST_REQUIRE(probe != nullptr);
+  // Comes back at once, with what the list did not show yet.
+  BOOST_TEST((probe->wait == duration::zero()));
+  const auto news = follower.OnWatch(
+      now, object_changes{.events = {{.object = Object("a", 8)}},
+                          .as_of = revision(9)});
+  BOOST_TEST(follower.objects().at("a").at.value() == 8U);
+  const auto next = Resume(news);
+  BOOST_TEST_REQUIRE(Find<store_follower::watch>(next) != nullptr);
+  BOOST_TEST((Find<store_follower::watch>(next)->wait ==
+              store_follower::config().watch_wait));
+}
+
 // Pattern: a connection to the store goes silent without a reset.
 BOOST_FIXTURE_TEST_CASE(a_store_that_says_nothing_is_not_fresh, fixture) {
   follower.Start();
--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -131,7 +131,7 @@
       on_hosts_changed_(std::move(on_hosts_changed)),
       self_(std::move(self)),
       members_(std::move(members)),
-      duty_(self_.id, {}, loop.Now(), random),
+      duty_(self_.id, {}, loop.Now()),
       client_(loop, settings.callers.ip, {.max_body_bytes = kMaxCopyBytes}) {
   for (const std::string& ip : settings.seed_ips) {
     if (ip != self_.peer.ip) {
@@ -184,11 +184,11 @@
         {.inputs = {{"zone_hosts", static_cast<std::int64_t>(zone.size())}}});
   }
   store_.SetWatching(watch);
-  if (!duty_.is_chosen()) {
+  if (!watching_) {
     return;
   }
   SendToZone(store_feed{.fresh = store_.is_fresh(), .documents = Digests()});
-  if (++beats_ % kBeatsPerRelist == 0) {
+  if (duty_.is_chosen() && ++beats_ % kBeatsPerRelist == 0) {
     store_.RelistHosts();
   }
 }
@@ -196,7 +196,7 @@
 void peer_task::Feed(object_kind kind,
                      revision from,
                      const object_changes& changes) {
-  if (!duty_.is_chosen()) {
+  if (!watching_) {
     return;
   }
   store_feed feed{.fresh = true,
--- a/src/trefoilmill_entry/peer_task.h
+++ b/src/trefoilmill_entry/peer_task.h
@@ -37,8 +37,8 @@
   void SetListed(std::vector<host_record> hosts);
   /// Tells the others what this host has in force.
   void PublishDigests();
-  /// Passes what the store told on to the hosts of the zone, if that is this
-  /// host's duty.
+  /// Passes what the store told on to the hosts of the zone, while this host
+  /// watches the store.
   void Feed(object_kind kind, revision from, const object_changes& changes);
   /// Tells the others that this host takes no new work.
   void Leave();
@@ -100,7 +100,7 @@
   std::map<socket_address, host_id> ids_;
   std::vector<host_record> entry_hosts_;
   watch_duty duty_;
-  bool watching_ = true;
+  bool watching_ = false;
   int beats_ = 0;
   /// What the zone's watchers have, and where.
   std::map<object_kind, std::pair<revision, socket_address>> fed_;
--- a/src/trefoilmill_entry/store_task.cc
+++ b/src/trefoilmill_entry/store_task.cc
@@ -24,12 +24,17 @@
 /// The configuration's watch is short: it also shows that the store answers.
 /// Longer ones cost fewer calls.
 constexpr duration kShortWatch = std::chrono::milliseconds(1500);
+/// Endpoints change often, a few at a time, and may serve on for seconds.
+constexpr duration kEndpointsSettle = std::chrono::milliseconds(250);
 
 store_follower::config FollowerConfig(object_kind kind) {
   store_follower::config config;
   if (kind == object_kind::kConfiguration) {
     config.watch_wait = kShortWatch;
   }
+  if (kind == object_kind::kEndpoints) {
+    config.settle = kEndpointsSettle;
+  }
   return config;
 }
 
@@ -71,6 +76,7 @@
 store_task::~store_task() = default;
 
 void store_task::Start() {
+  SetWatching(false);
   for (auto& [kind, f] : followed_) {
     Apply(*f, f->follower.Start());
   }
@@ -124,21 +130,21 @@
 }
 
 void store_task::Do(followed& f, const store_follower::list_page& action) {
-  client_.Send(store_, platform::ListRequest(f.kind, action.after),
-               kCallTimeout, [this, &f](http_exchange ended) {
-                 NoteReachable(ended.response.has_value(), "list");
-                 if (!ended.response.has_value()) {
-                   Failed(f, {});
-                   return;
-                 }
-                 auto page = platform::ParsePage(*ended.response);
-                 if (!page.has_value()) {
-                   Failed(f, page.error());
-                   return;
-                 }
-                 Apply(f,
-                       f.follower.OnPage(loop_.Now(), std::move(page.value())));
-               });
+  client_.Send(
+      store_, platform::ListRequest(f.kind, action.after, action.may_be_stale),
+      kCallTimeout, [this, &f](http_exchange ended) {
+        NoteReachable(ended.response.has_value(), "list");
+        if (!ended.response.has_value()) {
+          Failed(f, {});
+          return;
+        }
+        auto page = platform::ParsePage(*ended.response);
+        if (!page.has_value()) {
+          Failed(f, page.error());
+          return;
+        }
+        Apply(f, f.follower.OnPage(loop_.Now(), std::move(page.value())));
+      });
 }
 
 void store_task::Do(followed& f, const store_follower::watch& action) {
--- a/src/trefoilmill_entry/store_task.h
+++ b/src/trefoilmill_entry/store_task.h
@@ -37,7 +37,7 @@
              std::mt19937_64 random);
   ~store_task();
 
-  /// Starts to follow all kinds.
+  /// Reads all kinds once; follows them from SetWatching(true) on.
   void Start();
   /// Keeps an object of this host's own in the store, until the store has
   /// confirmed it.
