--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -87,7 +87,7 @@
   }
   std::unique_ptr<peer_task> made(new peer_task(
       loop, settings, store, places, trace, std::move(on_hosts_changed),
-      std::move(self), std::move(members.value()), std::mt19937_64(random())));
+      std::move(self), std::move(members.value())));
   peer_task* task = made.get();
   auto socket = datagram_socket::Bind(
       loop, settings.peers,
@@ -122,8 +122,7 @@
                      telemetry& trace,
                      std::function<void()> on_hosts_changed,
                      host_record self,
-                     membership members,
-                     std::mt19937_64 random)
+                     membership members)
     : loop_(loop),
       store_(store),
       places_(places),
--- a/src/trefoilmill_entry/peer_task.h
+++ b/src/trefoilmill_entry/peer_task.h
@@ -62,8 +62,7 @@
             telemetry& trace,
             std::function<void()> on_hosts_changed,
             host_record self,
-            membership members,
-            std::mt19937_64 random);
+            membership members);
 
   void Apply(const membership::actions& actions);
   void Do(const membership::send& action);
