Answers at the objective leave 14 ms for their way to the caller

The objective counts from the caller's first attempt: 6 ms for a new connection, 3 ms for each way, and the timer.

Ruled out: late whole answers (37 in the log).

--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -7,9 +7,9 @@
 namespace trefoilmill {
 namespace {
 
-/// Time from this host's answer to the caller, with the way of the request to
-/// this host, which the objective counts as well.
-constexpr duration kCallerNetwork = std::chrono::milliseconds(9);
+/// What the objective counts besides the time at this host: the ways of the
+/// request and its answer, a new connection, late timers.
+constexpr duration kCallerNetwork = std::chrono::milliseconds(14);
 /// Time kept back before the caller's deadline for the answer's way.
 constexpr duration kFinalMargin = std::chrono::milliseconds(12);
 /// A sub-request is hedged once it takes longer than this quantile times this
--- a/src/libtrefoilmill/request/request_run_test.cc
+++ b/src/libtrefoilmill/request/request_run_test.cc
@@ -72,6 +72,20 @@
   BOOST_TEST(gathered->stamps.size() == 9U);
 }
 
+// Seen on phd-restock-grown, quiet-1: partial answers, given 9 ms before the
+// objective, reached their callers after it.
+BOOST_FIXTURE_TEST_CASE(a_partial_answer_leaves_time_for_its_way,
+                        request_fixture) {
+  // The way is 3 ms; a new connection is made first.
+  constexpr duration kWay = milliseconds(3);
+  Start("/sweep/1");
+  const time_point arrived = now;
+  Answer(0, 9);
+  const time_point sent = arrived - 3 * kWay;
+  RunUntil(sent + kObjective - kWay);
+  BOOST_TEST(answer.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(an_insufficient_answer_is_not_given_at_the_objective,
                         request_fixture) {
   Start("/sweep/1");
