The budget of extra sends goes to the hosts that callers use

The slack of 188 sends a window was shared evenly by 74 hosts, 68 of which stand by: the six that serve had 2 each.

Hosts that stand by keep one saved-up send, earned by their own requests; the named ones share the rest.

--- a/src/include/trefoilmill/connection/connection_share.h
+++ b/src/include/trefoilmill/connection/connection_share.h
@@ -13,6 +13,7 @@
 #include <set>
 
 #include "trefoilmill/ids.h"
+#include "trefoilmill/process/sending_hosts.h"
 
 namespace trefoilmill {
 
@@ -27,20 +28,10 @@
   int slots = 1;
 };
 
-/// Who keeps connections to endpoints.
-struct connection_sharers {
-  /// Hosts that callers are told of.
-  std::size_t named = 1;
-  /// Further hosts that may send.
-  std::size_t standing_by = 0;
-  /// Whether this host is one of the named.
-  bool is_named = true;
-};
-
 /// Connections that `self`, one of `sharers`, may keep; 0 if the endpoint is
 /// left to others.
 int ConnectionShare(const host_id& self,
-                    const connection_sharers& sharers,
+                    const sending_hosts& sharers,
                     const connection_demand& demand);
 
 }  // namespace trefoilmill
--- a/src/include/trefoilmill/process/extra_send_budget.h
+++ b/src/include/trefoilmill/process/extra_send_budget.h
@@ -3,19 +3,21 @@
 ///
 /// The bound over all hosts is, in any window of length W,
 ///   extra sends <= ratio x requests + slack.
-/// A host spends at most  cap + refill + kRatioShare x ratio x its requests,
-/// where cap + refill = kSlackShare x slack / hosts and cap is at least one
-/// send. Summed over all hosts that is below the bound as long as `hosts` is no
-/// less than the number of hosts that send, and no more than kSlackShare x
+/// A host spends at most  cap + refill + kRatioShare x ratio x its requests.
+/// For a host that stands by, cap is one send and refill none: it spends what
+/// its own requests earned. The hosts that callers are told of share what is
+/// left: cap + refill = (kSlackShare x slack - standing_by) / named, where cap
+/// is at least one send. Summed over all hosts that is below the bound as long
+/// as no more hosts send than are counted, and no more than kSlackShare x
 /// slack. A process starts with nothing to spend, so that a restart within the
 /// window adds nothing.
 #ifndef TREFOILMILL_PROCESS_EXTRA_SEND_BUDGET_H_
 #define TREFOILMILL_PROCESS_EXTRA_SEND_BUDGET_H_
 
-#include <cstddef>
 #include <map>
 
 #include "trefoilmill/ids.h"
+#include "trefoilmill/process/sending_hosts.h"
 #include "trefoilmill/time.h"
 
 namespace trefoilmill {
@@ -33,8 +35,8 @@
  public:
   explicit extra_send_budget(const extra_send_bound& bound);
 
-  /// How many hosts may send at the same time, this one among them.
-  void SetHosts(std::size_t hosts);
+  /// Which hosts may send at the same time, this one among them.
+  void SetHosts(const sending_hosts& hosts) { hosts_ = hosts; }
   void SetBound(const extra_send_bound& bound) { bound_ = bound; }
   /// A caller's request was first sent to `service`.
   void OnFirstSend(time_point now, const service_id& service);
@@ -54,7 +56,7 @@
   account& Refilled(time_point now, const service_id& service);
 
   extra_send_bound bound_;
-  double hosts_ = 1;
+  sending_hosts hosts_;
   std::map<service_id, account> accounts_;
 };
 
--- a/src/libtrefoilmill/connection/connection_share.cc
+++ b/src/libtrefoilmill/connection/connection_share.cc
@@ -44,8 +44,7 @@
 }
 
 /// Connections at one endpoint that hosts standing by may take.
-double StandbyConnections(const connection_sharers& sharers,
-                          std::size_t replicas) {
+double StandbyConnections(const sending_hosts& sharers, std::size_t replicas) {
   return static_cast<double>(sharers.standing_by * kStandbyReplicas) /
          static_cast<double>(std::max<std::size_t>(replicas, 1));
 }
@@ -53,7 +52,7 @@
 }  // namespace
 
 int ConnectionShare(const host_id& self,
-                    const connection_sharers& sharers,
+                    const sending_hosts& sharers,
                     const connection_demand& demand) {
   if (!sharers.is_named) {
     return IsPreferred(self, demand, kStandbyReplicas) ? 1 : 0;
--- a/src/libtrefoilmill/process/extra_send_budget.cc
+++ b/src/libtrefoilmill/process/extra_send_budget.cc
@@ -13,23 +13,27 @@
 constexpr double kUndividedShare = 3;
 /// Part of the slack that is handed out.
 constexpr double kSlackShare = 0.85;
+/// What a host that stands by may have saved up.
+constexpr double kStandbySends = 1;
 
 }  // namespace
 
 extra_send_budget::extra_send_budget(const extra_send_bound& bound)
     : bound_(bound) {}
 
-void extra_send_budget::SetHosts(std::size_t hosts) {
-  hosts_ = std::max<double>(1, static_cast<double>(hosts));
-}
-
 double extra_send_budget::cap() const {
   const double share = SlackShare();
-  return std::max({1.0, share / 2, std::min(share, kUndividedShare)});
+  return std::max({kStandbySends, share / 2, std::min(share, kUndividedShare)});
 }
 
 double extra_send_budget::SlackShare() const {
-  return kSlackShare * bound_.slack / hosts_;
+  if (!hosts_.is_named) {
+    return 0;
+  }
+  const double kept = kStandbySends * static_cast<double>(hosts_.standing_by);
+  const auto named =
+      static_cast<double>(std::max<std::size_t>(1, hosts_.named));
+  return std::max(0.0, kSlackShare * bound_.slack - kept) / named;
 }
 
 extra_send_budget::account& extra_send_budget::Refilled(
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -362,11 +362,8 @@
   if (table_ == nullptr) {
     return 0;
   }
-  const std::size_t hosts = peers_->CountedHosts();
-  const std::size_t named = std::min(entry_hosts_.size(), hosts);
   return ConnectionShare(
-      settings_.host,
-      {.named = named, .standing_by = hosts - named, .is_named = IsEntryHost()},
+      settings_.host, sharers_,
       {.replicas = shared_.registry.OfService(record.service),
        .endpoint = record.id,
        .max_connections = table_->RulesOf(record.service).max_connections,
@@ -410,8 +407,14 @@
   if (peers_ == nullptr) {
     return;
   }
-  const std::size_t hosts = peers_->CountedHosts();
-  shared_.extra_sends.SetHosts(hosts);
+  // Strong hosts that died lately may come back before others know of it.
+  const auto known = peers_->KnownHosts();
+  const std::size_t hosts = known.size();
+  const std::size_t named = std::min(
+      hosts, std::max(entry_hosts_.size(), ChooseEntryHosts(known).size()));
+  sharers_ = {
+      .named = named, .standing_by = hosts - named, .is_named = IsEntryHost()};
+  shared_.extra_sends.SetHosts(sharers_);
   trace_.values->Set(metric::kHosts, static_cast<double>(hosts), {"known"});
   for (const auto& [id, held] : shared_.registry.entries()) {
     links_->SetMost(id, MostConnections(held.record));
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -10,6 +10,7 @@
 #include "trefoilmill/entry_settings.h"
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
+#include "trefoilmill/process/sending_hosts.h"
 #include "trefoilmill/process/traffic.h"
 #include "trefoilmill/version/route_table.h"
 #include "trefoilmill_entry/endpoint_links.h"
@@ -72,6 +73,7 @@
   std::shared_ptr<const route_table> table_;
   /// The hosts that callers are told of.
   std::vector<host_record> entry_hosts_;
+  sending_hosts sharers_;
   bool endpoints_known_ = false;
   bool was_ready_ = false;
   bool leaving_ = false;
--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -301,14 +301,15 @@
   return hosts;
 }
 
-std::size_t peer_task::CountedHosts() const {
-  std::set<host_id> counted;
-  std::ranges::copy(std::views::keys(members_.members()),
-                    std::inserter(counted, counted.end()));
-  std::ranges::transform(members_.listed(),
-                         std::inserter(counted, counted.end()),
-                         &host_record::id);
-  return counted.size();
+std::vector<host_record> peer_task::KnownHosts() const {
+  std::vector<host_record> known;
+  std::ranges::transform(std::views::values(members_.members()),
+                         std::back_inserter(known), &member::host);
+  std::ranges::copy_if(members_.listed(), std::back_inserter(known),
+                       [this](const host_record& host) {
+                         return !members_.members().contains(host.id);
+                       });
+  return known;
 }
 
 void peer_task::Apply(const membership::actions& actions) {
--- a/src/trefoilmill_entry/peer_task.h
+++ b/src/trefoilmill_entry/peer_task.h
@@ -47,9 +47,8 @@
 
   /// Hosts that callers may use: alive, with a configuration in force.
   std::vector<host_record> ServingHosts() const;
-  /// Hosts that may be sending to endpoints, known dead ones included: the
-  /// divisor of shares.
-  std::size_t CountedHosts() const;
+  /// Hosts that may be sending to endpoints, known dead ones included.
+  std::vector<host_record> KnownHosts() const;
   const host_record& self() const { return self_; }
   /// The hosts that callers are told of: they are told of endpoints' troubles.
   void SetEntryHosts(std::vector<host_record> hosts);
