Half of an endpoint's connections are handed out to the hosts that serve

For 8 s after that 5 to 10 of 100 requests failed: the log shows 7 or 8 of 10 shards answered and two or three never sent, waiting for a connection. Endpoints still counted the connections of before (18 of 26) and reset 1,986 new ones.

Named hosts get half of the connections in all, so that old and new fit; where hosts outnumber them, nothing changes.

--- a/src/libtrefoilmill/connection/connection_share.cc
+++ b/src/libtrefoilmill/connection/connection_share.cc
@@ -9,10 +9,13 @@
 namespace trefoilmill {
 namespace {
 
-/// Part of an endpoint's connections that is handed out; the rest is room for
-/// hosts that restart or that others have not heard of yet, and for chance in
-/// the choice of replicas.
+/// Part of an endpoint's connections that is handed out in all; the rest is
+/// room for hosts that others have not heard of yet, and for chance in the
+/// choice of replicas.
 constexpr double kHandedOut = 0.8;
+/// Part that the named hosts get: when all of them lose power and come back,
+/// the endpoint still counts the connections of before.
+constexpr double kNamedPart = 0.5;
 /// Replicas that every host reaches, if there are as many.
 constexpr std::size_t kLeastReplicas = 2;
 /// Replicas that a host reaches while it stands by.
@@ -62,9 +65,11 @@
                         StandbyConnections(sharers, demand.replicas.size()));
   const double named =
       static_cast<double>(std::max<std::size_t>(sharers.named, 1));
-  const int share = static_cast<int>(handed_out / named);
-  if (share >= 1) {
-    return std::min(share, demand.slots + 1);
+  if (handed_out >= named) {
+    const double most =
+        std::min(handed_out, kNamedPart * demand.max_connections);
+    const int share = static_cast<int>(most / named);
+    return std::clamp(share, 1, demand.slots + 1);
   }
   const std::size_t reached =
       ReachedReplicas(demand.replicas.size(), handed_out, named);
