A hedge that cannot be sent is tried again; a needed shard goes anywhere

The hedge is tried again after half of its delay, and goes to a slow replica where an answer without the shard would cover too little.

Kept for the queries it lets end; the tests fail without it.

--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -152,6 +152,8 @@
     bool waiting = false;
     bool given_up = false;
     bool hedged = false;
+    /// When to try a hedge again that found no endpoint or no budget.
+    std::optional<time_point> hedge_again_at;
     /// The greatest verdict of its failed attempts.
     verdict worst = verdict::kNotRun;
 
@@ -166,6 +168,10 @@
               actions& out);
   void Retry(time_point now, traffic& shared, std::size_t index, actions& out);
   void Hedge(time_point now, traffic& shared, actions& out);
+  void TryHedge(time_point now,
+                traffic& shared,
+                std::size_t index,
+                actions& out);
   void Settle(time_point now, actions& out);
   void WithdrawPlanned(traffic& shared, actions& out);
   void SettleGather(time_point now, const gather_target& target, actions& out);
@@ -175,6 +181,11 @@
   void AddWake(time_point now, const traffic& shared, actions& out) const;
 
   bool MayTryAgain(const shard& s) const;
+  bool MayHedge(const shard& s) const;
+  /// When the shard's oldest attempt counts as late.
+  static time_point HedgeTime(const shard& s, duration delay);
+  /// Whether an answer without one more shard would cover too little.
+  bool NeedsEveryShard() const;
   /// Until when a request waits for its first free connection.
   time_point WaitEnds() const;
   double Coverage() const;
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -17,6 +17,10 @@
 /// hedges are for.
 constexpr double kHedgeQuantile = 0.75;
 constexpr double kHedgeFactor = 1.5;
+/// A hedge that could not be sent is tried again after this part of that time,
+/// but not sooner than the least pause.
+constexpr int kHedgePauseShare = 2;
+constexpr duration kLeastHedgePause = std::chrono::milliseconds(5);
 /// Part of the objective after which to hedge before latencies are known.
 constexpr int kUnlearnedHedgeShare = 4;
 /// Part of the saved-up extra sends that is kept for retries.
@@ -280,37 +284,62 @@
   return route_->objective / kUnlearnedHedgeShare;
 }
 
+bool request_run::NeedsEveryShard() const {
+  const auto* gather = std::get_if<gather_target>(&route_->target);
+  const double one = 1.0 / static_cast<double>(shards_.size());
+  return gather != nullptr && ReachableCoverage() - one < gather->min_coverage;
+}
+
+bool request_run::MayHedge(const shard& s) const {
+  return route_->repeats == repeat_rule::kIdempotent && s.open() &&
+         !s.in_flight.empty() && MayTryAgain(s) &&
+         (!s.hedged || NeedsEveryShard());
+}
+
+time_point request_run::HedgeTime(const shard& s, duration delay) {
+  return s.hedge_again_at.value_or(s.in_flight.front().sent + delay);
+}
+
 void request_run::Hedge(time_point now, traffic& shared, actions& out) {
-  if (route_->repeats != repeat_rule::kIdempotent) {
-    return;
-  }
   const duration delay = HedgeDelay(shared);
   for (std::size_t index = 0; index < shards_.size(); ++index) {
-    shard& s = shards_[index];
-    if (!s.open() || s.hedged || s.in_flight.empty() || !MayTryAgain(s) ||
-        now - s.in_flight.front().sent < delay) {
-      continue;
+    const shard& s = shards_[index];
+    if (MayHedge(s) && HedgeTime(s, delay) <= now) {
+      TryHedge(now, shared, index, out);
     }
-    s.hedged = true;
+  }
+}
+
+void request_run::TryHedge(time_point now,
+                           traffic& shared,
+                           std::size_t index,
+                           actions& out) {
+  shard& s = shards_[index];
+  const duration usual = UsualLatency(shared, *route_);
+  if (!s.hedge_again_at.has_value()) {
     const attempt& late = s.in_flight.front();
-    shared.places.OnLate(now, late.endpoint, late.id,
-                         UsualLatency(shared, *route_));
-    const auto choice = shared.places.Choose(
-        now, shared.registry, s.service, s.tried, UsualLatency(shared, *route_),
-        placement::purpose::kHedge);
-    const auto* chosen = std::get_if<placement::chosen>(&choice);
-    if (chosen == nullptr) {
-      continue;
-    }
-    const double reserve =
-        kRetryReserve * std::max(0.0, shared.extra_sends.cap() - 1);
-    if (!shared.extra_sends.TrySpend(now, s.service, reserve)) {
-      ++counts_.budget_refusals;
-      continue;
-    }
-    ++counts_.hedges;
-    SendTo(now, shared, index, chosen->endpoint, out);
+    shared.places.OnLate(now, late.endpoint, late.id, usual);
+  }
+  s.hedge_again_at =
+      now + std::max(kLeastHedgePause, HedgeDelay(shared) / kHedgePauseShare);
+  // Without this shard there is no answer: any endpoint is better than none.
+  const auto why = NeedsEveryShard() ? placement::purpose::kFirst
+                                     : placement::purpose::kHedge;
+  const auto choice = shared.places.Choose(now, shared.registry, s.service,
+                                           s.tried, usual, why);
+  const auto* chosen = std::get_if<placement::chosen>(&choice);
+  if (chosen == nullptr) {
+    return;
+  }
+  const double reserve =
+      kRetryReserve * std::max(0.0, shared.extra_sends.cap() - 1);
+  if (!shared.extra_sends.TrySpend(now, s.service, reserve)) {
+    ++counts_.budget_refusals;
+    return;
   }
+  s.hedged = true;
+  ++counts_.hedges;
+  SendTo(now, shared, index, chosen->endpoint, out);
 }
 
 double request_run::Coverage() const {
@@ -442,8 +471,8 @@
   consider(objective_ + route_->objective);
   const duration delay = HedgeDelay(shared);
   for (const shard& s : shards_) {
-    if (s.open() && !s.hedged && !s.in_flight.empty()) {
-      consider(s.in_flight.front().sent + delay);
+    if (MayHedge(s)) {
+      consider(HedgeTime(s, delay));
     }
   }
   out.emplace_back(wake{next});
--- a/src/libtrefoilmill/request/request_run_test.cc
+++ b/src/libtrefoilmill/request/request_run_test.cc
@@ -42,6 +42,46 @@
   BOOST_TEST(run->in_flight());
 }
 
+// Pattern: all replicas of a shard are gone and endpoints of the others are
+// slow. Seen on lakeshore-ops, scale-2: 8 of 9 shards answered, the last was
+// never hedged because no connection was free at the first try.
+BOOST_FIXTURE_TEST_CASE(a_hedge_that_cannot_be_sent_is_tried_again,
+                        request_fixture) {
+  LoseShard(3);
+  Start("/sweep/1");
+  BOOST_TEST_REQUIRE(sends.size() == 9U);
+  now += milliseconds(8);
+  Answer(1, 9);
+  for (int replica = 0; replica < kReplicas; ++replica) {
+    shared.places.SetFree(Endpoint(0, replica), 0);
+  }
+  RunUntil(now + milliseconds(30));
+  BOOST_TEST(sends.size() == 9U);
+  for (int replica = 0; replica < kReplicas; ++replica) {
+    shared.places.SetFree(Endpoint(0, replica), 1);
+  }
+  RunUntil(now + milliseconds(15));
+  BOOST_TEST_REQUIRE(sends.size() == 10U);
+  BOOST_TEST(sends[9].shard == 0U);
+  Answer(sends[9]);
+  BOOST_TEST(AnswerAs<gathered_answer>() != nullptr);
+}
+
+// Without the shard there is no answer, so a slow replica is asked as well.
+BOOST_FIXTURE_TEST_CASE(a_needed_shard_is_hedged_at_a_slow_endpoint,
+                        request_fixture) {
+  LoseShard(3);
+  for (int replica = 0; replica < kReplicas; ++replica) {
+    shared.places.OnReport(
+        now, {.endpoint = Endpoint(0, replica), .excess_milli = 20000});
+  }
+  Start("/sweep/1");
+  now += milliseconds(8);
+  Answer(1, 9);
+  RunUntil(now + milliseconds(20));
+  BOOST_TEST(sends.size() == 10U);
+}
+
 BOOST_FIXTURE_TEST_CASE(no_shard_goes_to_more_endpoints_than_allowed,
                         request_fixture) {
   Start("/sweep/1");
