The directory names all strong hosts of a large fleet, a part to each caller

Cause: the answer's bound of 64 addresses also bounded the hosts that serve: a fleet of 300 equal hosts would have used 64. The bound now applies to each answer alone, which is picked by rendezvous hashing of the answering host and the caller's zone (entry_list). At up to 64 such hosts nothing changes.

--- a/src/include/trefoilmill/process/entry_hosts.h
+++ b/src/include/trefoilmill/process/entry_hosts.h
@@ -1,4 +1,5 @@
-/// Which hosts callers are told to connect to.
+/// Which hosts callers may be told to connect to; entry_list.h picks out of
+/// them for one caller.
 ///
 /// Callers pick at random among the addresses they get. A host is therefore
 /// spared only by not being named: hosts that are much weaker than the others
@@ -11,16 +12,12 @@
 #ifndef TREFOILMILL_PROCESS_ENTRY_HOSTS_H_
 #define TREFOILMILL_PROCESS_ENTRY_HOSTS_H_
 
-#include <cstddef>
 #include <vector>
 
 #include "trefoilmill/deployment.h"
 
 namespace trefoilmill {
 
-/// Addresses in one answer to callers, at most.
-inline constexpr std::size_t kMaxEntryHosts = 64;
-
 /// The hosts to name out of those that serve, strongest first. All hosts
 /// compute the same from the same view.
 std::vector<host_record> ChooseEntryHosts(std::vector<host_record> serving);
--- a/src/libtrefoilmill/process/entry_hosts.cc
+++ b/src/libtrefoilmill/process/entry_hosts.cc
@@ -45,7 +45,7 @@
     strength += StrengthOf(host);
     ++named;
   }
-  serving.resize(std::min(named, kMaxEntryHosts));
+  serving.resize(named);
   return serving;
 }
 
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -12,6 +12,7 @@
 #include "platform/headers.h"
 #include "platform/http_dialect.h"
 #include "trefoilmill/connection/connection_share.h"
+#include "trefoilmill/entry_list.h"
 #include "trefoilmill/process/entry_hosts.h"
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill/wire/entry_settings_codec.h"
@@ -30,6 +31,8 @@
 constexpr duration kDrainMargin = std::chrono::milliseconds(1300);
 /// How long callers may keep the addresses they got.
 constexpr duration kDirectoryTtl = std::chrono::seconds(1);
+/// Addresses in one answer, at most.
+constexpr int kMaxAddresses = 64;
 /// Before the end of the grace time: stop taking requests, and end in any case.
 constexpr duration kStopTakingBefore = std::chrono::milliseconds(1500);
 constexpr duration kEndBefore = std::chrono::milliseconds(300);
@@ -449,14 +452,21 @@
     responder.Send({.status = 404});
     return;
   }
+  const auto zone = request.query.find(platform::kCallerZoneField);
+  const std::string from = zone == request.query.end() ? "" : zone->second;
+  // Stable for the callers of a zone at this host, different at others.
+  const caller_id caller(settings_.host.value() + "/" + from);
+  const entry_list list =
+      BuildEntryList(ChooseEntryHosts(peers_->ServingHosts()), {}, {}, caller,
+                     {.ttl = kDirectoryTtl, .count = kMaxAddresses});
   std::vector<socket_address> addresses;
-  std::ranges::transform(ChooseEntryHosts(peers_->ServingHosts()),
-                         std::back_inserter(addresses), &host_record::callers);
+  std::ranges::transform(list.hosts, std::back_inserter(addresses),
+                         &host_record::callers);
   if (addresses.empty()) {
     responder.Send({.status = 503});
     return;
   }
-  responder.Send(platform::EntryAddresses(addresses, kDirectoryTtl));
+  responder.Send(platform::EntryAddresses(addresses, list.ttl));
 }
 
 void entry_process::Tick() {
