A host says at its first beat whether it watches the store

testsuite_platform_path failed since hosts begin without watching: the host that is fed never wrote that it leaves the store to its peers, as it had not begun to watch. The duty is a belief like any other: it is logged when first known.

--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -50,6 +50,7 @@
   /// Whether callers are now told of other hosts than before.
   bool RefreshEntryHosts();
   void ShareOut();
+  /// Whether callers are told of this host; also while no host is known.
   bool IsEntryHost() const;
   int MostConnections(const endpoint_record& record) const;
   bool is_ready() const;
--- a/src/trefoilmill_entry/peer_task.cc
+++ b/src/trefoilmill_entry/peer_task.cc
@@ -183,7 +183,7 @@
         {.inputs = {{"zone_hosts", static_cast<std::int64_t>(zone.size())}}});
   }
   store_.SetWatching(watch);
-  if (!watching_) {
+  if (!is_watching()) {
     return;
   }
   SendToZone(store_feed{.fresh = store_.is_fresh(), .documents = Digests()});
@@ -195,7 +195,7 @@
 void peer_task::Feed(object_kind kind,
                      revision from,
                      const object_changes& changes) {
-  if (!watching_) {
+  if (!is_watching()) {
     return;
   }
   store_feed feed{.fresh = true,
--- a/src/trefoilmill_entry/peer_task.h
+++ b/src/trefoilmill_entry/peer_task.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -77,6 +78,7 @@
   /// Regular sign of a host that watches the store; also decides whether this
   /// host is to watch.
   void Beat();
+  bool is_watching() const { return watching_.value_or(false); }
   void SendToZone(const peer_message& message);
   void SendTo(const host_record& host, const std::string& frame);
   /// Tells of endpoints that are not well.
@@ -98,7 +100,8 @@
   std::map<socket_address, host_id> ids_;
   std::vector<host_record> entry_hosts_;
   watch_duty duty_;
-  bool watching_ = false;
+  /// Whether this host watches the store; unset until the first beat.
+  std::optional<bool> watching_;
   int beats_ = 0;
   /// What the zone's watchers have, and where.
   std::map<object_kind, std::pair<revision, socket_address>> fed_;
