--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -35,6 +35,10 @@
                 const entry_settings& settings,
                 std::string settings_file);
 
+  /// Connections stay open this many times as long as callers may leave them
+  /// idle.
+  static constexpr int kIdleFactor = 2;
+
   result<void> Listen();
   result<void> ListenForMetrics();
   void OnReplaced(object_kind kind);
