The first watch after a failed call comes back at once

Cause: found in review. A first watch asks for no wait so that the answer shows that the store is reached; after a failure the next watch asked for the whole wait, and a host whose store was back could not say so for up to 1.5 s, the configuration's watch. The test fails without the change.

--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -111,8 +111,8 @@
   /// The next list must show the store's latest state: an older one may lie
   /// before the history that the store still has.
   bool exact_list_ = false;
-  /// The last call was a watch: the next one need not prove that the store
-  /// answers.
+  /// A watch was answered, or is the first under way: the next one need not
+  /// prove that the store answers.
   bool was_watching_ = false;
   int failures_ = 0;
   time_point last_answer_;
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -179,6 +179,7 @@
 store_follower::actions store_follower::OnFailed(time_point now) {
   const int doublings = std::min(failures_, kMaxDoublings);
   ++failures_;
+  was_watching_ = false;
   const duration length = std::min(config_.longest_backoff,
                                    config_.first_backoff * (1 << doublings));
   return {Pause(now, length)};
--- a/src/libtrefoilmill/version/store_follower_test.cc
+++ b/src/libtrefoilmill/version/store_follower_test.cc
@@ -136,6 +136,18 @@
               store_follower::config().watch_wait));
 }
 
+// Pattern: the store was away and is back.
+BOOST_FIXTURE_TEST_CASE(the_first_watch_after_a_failure_comes_back_at_once,
+                        fixture) {
+  follower.Start();
+  Resume(List({}, 5));
+  follower.OnWatch(now, object_changes{.events = {}, .as_of = revision(5)});
+  const auto resumed = Resume(follower.OnFailed(now));
+  const auto* probe = Find<store_follower::watch>(resumed);
+  BOOST_TEST_REQUIRE(probe != nullptr);
+  BOOST_TEST((probe->wait == duration::zero()));
+}
+
 // Pattern: a connection to the store goes silent without a reset.
 BOOST_FIXTURE_TEST_CASE(a_store_that_says_nothing_is_not_fresh, fixture) {
   follower.Start();
