--- /dev/null
+++ b/scripts/lib/entry_fleet.py
@@ -0,0 +1,161 @@
+"""Entry processes on loopback addresses, beside the stand-in of the platform:
+what the tests of the entry process share. Each test uses a network of its own,
+given by its first two numbers, as "127.12"."""
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import subprocess
+import tempfile
+import time
+
+import platform_standin as platform
+
+BIN = pathlib.Path(os.environ["TREFOILMILL_BIN"])
+STORE_PORT = 8229
+SHARDS = [f"shard-{n}" for n in range(5)]
+LIMIT_S = 15.0
+FRONT, READY, DIRECTORY, PEERS = 8226, 8227, 8225, 7740
+
+
+def eventually(what, check):
+    until = time.monotonic() + LIMIT_S
+    while not check():
+        if time.monotonic() > until:
+            raise AssertionError(f"never: {what}")
+        time.sleep(0.05)
+
+
+def call(ip, port, path, headers=None, method="GET", body=None):
+    connection = http.client.HTTPConnection(ip, port, timeout=10)
+    try:
+        connection.request(method, path, body, headers or {})
+        reply = connection.getresponse()
+        return reply.status, dict(reply.getheaders()), reply.read()
+    except OSError:
+        return 0, {}, b""
+    finally:
+        connection.close()
+
+
+def configuration(version, *, extra=None):
+    gather = {"name": "sweep", "hostname": "shop.example",
+              "path_prefix": "/sweep/", "type": "idempotent",
+              "timeout_ms": 3000, "slo_ms": 1000, "priority": 1,
+              "fanout": SHARDS, "max_attempts": 2, "top_k": 4,
+              "min_coverage": 0.8}
+    book = {"name": "book", "hostname": "shop.example",
+            "path_prefix": "/book/", "type": "non_idempotent",
+            "timeout_ms": 3000, "slo_ms": 1000, "priority": 0,
+            "backend": "shard-0", "max_attempts": 2}
+    services = [{"name": name, "health_path": "/health", "max_conns": 20,
+                 "warmup_s": 3.0, "warmup_per_s": 0.0} for name in SHARDS]
+    return {"version": version, "routes": [gather, book] + (extra or []),
+            "backends": services,
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 10000,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+
+
+class Host:
+    """One entry process."""
+
+    def __init__(self, network, number):
+        self.ip = f"{network}.1.{number}"
+        self.name = f"front-{number}"
+        settings = {
+            "host": self.name, "availability_zone": "perth",
+            "callers": f"{self.ip}:{FRONT}", "readiness": f"{self.ip}:{READY}",
+            "directory": f"{self.ip}:{DIRECTORY}", "peer_port": PEERS,
+            "store": f"{network}.0.1:{STORE_PORT}",
+            "seeds": [f"{network}.1.1:8224", f"{network}.1.2:8224"],
+            "grace_s": 3, "drain_ms": 3000}
+        file = tempfile.NamedTemporaryFile("w", suffix=".jsonc", delete=False)
+        with file:
+            file.write("// a comment\n" + json.dumps(settings))
+        self.log = tempfile.NamedTemporaryFile("w+", suffix=".log")
+        self.process = subprocess.Popen(
+            [BIN / "trefoilmill_entry"], stdout=self.log,
+            env={**os.environ, "TREFOILMILL_CONFIG": file.name})
+
+    def ready(self):
+        return call(self.ip, READY, "/trefoilmill/ready")[0] == 200
+
+    def ask(self, path, request_id, method="GET", body=None):
+        return call(self.ip, FRONT, path,
+                    {"Host": "shop.example",
+                     "Trefoilmill-Request-Id": request_id,
+                     "Trefoilmill-Deadline-Ms": "3000"}, method, body)
+
+    def whole(self, request_id):
+        """Whether a query over all shards gets a whole answer."""
+        status, headers, _ = self.ask("/sweep/1", request_id)
+        return status == 200 and headers["Trefoilmill-Missing-Parts"] == "0"
+
+    def addresses(self):
+        status, _, body = call(self.ip, DIRECTORY,
+                               "/trefoilmill/resolve?name=shop.example")
+        return set(json.loads(body)["addrs"]) if status == 200 else set()
+
+    def lines(self, message=None):
+        """The log's lines, or those with one message."""
+        with open(self.log.name) as log:
+            lines = [json.loads(line) for line in log]
+        return [line for line in lines if message in (None, line["message"])]
+
+
+def record(value):
+    return bytes([value]) + bytes(15)
+
+
+class Fleet:
+    """The platform's stand-in with two endpoints a shard, and entry hosts."""
+
+    def __init__(self, network, hosts):
+        self.network = network
+        self.store = platform.Store()
+        platform.serve_store(f"{network}.0.1", STORE_PORT, self.store)
+        self.endpoints = {}
+        for index, service in enumerate(SHARDS):
+            for replica in range(2):
+                name, port = f"{service}-{replica}", 9000 + 2 * index + replica
+                self.endpoints[name] = platform.Endpoint(
+                    name, record(index) + record(100 + index))
+                platform.serve_endpoint(f"{network}.2.1", port,
+                                        self.endpoints[name])
+                self.register(name, service, port)
+        self.store.put("config", "main", configuration(7))
+        self.hosts = [self.start_host(number + 1) for number in range(hosts)]
+
+    def start_host(self, number):
+        return Host(self.network, number)
+
+    def register(self, name, service, port, state="ready", zone="perth"):
+        self.store.put("servers", name, {
+            "backend": service, "address": f"{self.network}.2.1:{port}",
+            "zone": zone, "version": "v1", "max_concurrency": 4,
+            "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1})
+
+    def wait_until_ready(self):
+        eventually("all are ready", lambda: all(h.ready() for h in self.hosts))
+        all_addresses = {f"{h.ip}:{FRONT}" for h in self.hosts}
+        eventually("each names all", lambda: all(
+            h.addresses() == all_addresses for h in self.hosts))
+        eventually("connections are made", lambda: all(
+            h.whole("warm") for h in self.hosts))
+
+    def stop(self):
+        for host in self.hosts:
+            if host.process.poll() is None:
+                host.process.kill()
+            host.process.wait()
+
+
+@contextlib.contextmanager
+def running(network, hosts):
+    fleet = Fleet(network, hosts)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -9,6 +9,7 @@
 
 OBJECTS = "/trefoilmill/objects/"
 WATCH_POLL_S = 0.02
+GONE = "history is gone"
 
 
 class Store:
@@ -21,6 +22,27 @@
         self._events = []
         self.down = False
         self.calls = 0
+        self.era = 1
+
+    def backup(self):
+        """Returns a copy of the content, for restore()."""
+        with self._lock:
+            return self._revision, dict(self._objects), list(self._events)
+
+    def restore(self, copy):
+        """Goes back to an earlier content; revisions are given out again."""
+        with self._lock:
+            revision, objects, events = copy
+            self._revision = revision
+            self._objects = dict(objects)
+            self._events = list(events)
+            self.era += 1
+
+    def get(self, kind, name):
+        """Returns the spec of an object, or None."""
+        with self._lock:
+            item = self._objects.get((kind, name))
+            return None if item is None else item["spec"]
 
     def put(self, kind, name, spec):
         with self._lock:
@@ -48,8 +70,11 @@
 
     def watch(self, kind, since, wait_s):
         until = time.monotonic() + wait_s
-        while not self.down:
+        era = self.era
+        while not self.down and self.era == era:
             with self._lock:
+                if since > self._revision:
+                    return GONE
                 events = [{"object": item, "deleted": deleted}
                           for at, k, item, deleted in self._events
                           if k == kind and at > since]
@@ -68,6 +93,11 @@
         self.delay_s = delay_s
         self.fails = False
         self.refuses = False
+        # Seconds of the Retry-After header of refusals; None sends none.
+        self.retry_after_s = None
+        self.leaving = False
+        # Time of arrival of each request, refused ones too.
+        self.arrivals = []
         self.runs = []
 
 
@@ -116,6 +146,7 @@
         store.calls += 1
         if store.down:
             return 503, {}, b""
+        era = {"Store-Era": str(store.era)}
         url = urllib.parse.urlsplit(request.path)
         query = dict(urllib.parse.parse_qsl(url.query))
         kind, _, name = url.path[len(OBJECTS):].partition("/")
@@ -128,11 +159,13 @@
             value = json.loads(body)
             name = name or value["meta"]["name"]
             if request.command == "POST" and store.exists(kind, name):
-                return 409, {}, b"{}"
+                return 409, era, b"{}"
             result = store.put(kind, name, value["spec"])
         if result is None:
-            return 503, {}, b""
-        return 200, {"Content-Type": "application/json"}, json.dumps(
+            return 503, {"Store-Era": str(store.era)}, b""
+        if result is GONE:
+            return 410, era, b"{}"
+        return 200, {"Content-Type": "application/json"} | era, json.dumps(
             result).encode()
 
     return _listen(ip, port, respond)
@@ -141,12 +174,21 @@
 def serve_endpoint(ip, port, endpoint):
     """Serves one endpoint."""
     def respond(request, body):
+        leaving = {"Server-Leaving": "1"} if endpoint.leaving else {}
+        status, headers, reply = answer(request, body) or (None, {}, b"")
+        return None if status is None else (status, headers | leaving, reply)
+
+    def answer(request, body):
+        endpoint.arrivals.append(time.monotonic())
         identity = request.headers["Trefoilmill-Request-Id"]
         expected = request.headers.get("Trefoilmill-Expect-Instance")
         if expected not in (None, endpoint.instance):
             return 421, {"Trefoilmill-Instance-Id": endpoint.instance}, b""
         if endpoint.refuses:
-            return 503, {"Trefoilmill-Not-Executed": "1"}, b""
+            headers = {"Trefoilmill-Not-Executed": "1"}
+            if endpoint.retry_after_s is not None:
+                headers["Retry-After"] = str(endpoint.retry_after_s)
+            return 503, headers, b""
         endpoint.runs.append((identity, request.command, request.path, body))
         time.sleep(endpoint.delay_s)
         if endpoint.fails:
--- a/src/include/trefoilmill/ids.h
+++ b/src/include/trefoilmill/ids.h
@@ -52,8 +52,8 @@
 using shard_id = strong_id<struct shard_tag, std::uint32_t>;
 /// A version of the whole index, over all services.
 using snapshot_version = strong_id<struct snapshot_tag, std::uint64_t>;
-/// Version of a stored document; only ever rises.
-using revision = strong_id<struct revision_tag, std::uint64_t>;
+/// Counts how often the platform's store was restored from an older copy.
+using store_era = strong_id<struct store_era_tag, std::uint64_t>;
 /// Changes whenever an endpoint's process starts anew.
 using instance_id = strong_id<struct instance_tag, std::string>;
 /// @}
@@ -74,6 +74,33 @@
 using idempotency_key = strong_id<struct idempotency_tag, std::string>;
 /// @}
 
+/// Position in the history of the platform's store, or the version of a stored
+/// object there. A store that is restored from an older copy loses its latest
+/// revisions and assigns their numbers again, so that numbers compare only
+/// within one era; any position of a later era is newer.
+class revision {
+ public:
+  revision() = default;
+  /// A position in a store that was never restored.
+  explicit revision(std::uint64_t number) : number_(number) {}
+  revision(store_era era, std::uint64_t number) : era_(era), number_(number) {}
+
+  store_era era() const { return era_; }
+  /// The store's number, for codecs and logs. Not comparable between eras.
+  const std::uint64_t& value() const { return number_; }
+
+  friend auto operator<=>(const revision&, const revision&) = default;
+  friend bool operator==(const revision&, const revision&) = default;
+  friend std::ostream& operator<<(std::ostream& out, const revision& r) {
+    return out << r.era_ << "." << r.number_;
+  }
+
+ private:
+  // Declared in the order of comparison.
+  store_era era_;
+  std::uint64_t number_ = 0;
+};
+
 /// A shard of one service.
 struct shard_ref {
   service_id service;
--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -195,9 +195,17 @@
 };
 /// @}
 
-/// Endpoints that the sender finds slow or failing.
+/// An endpoint that told the sender that it is leaving.
+struct endpoint_departure {
+  endpoint_id endpoint;
+  /// Start time of the instance that leaves, see endpoint_record.
+  std::uint64_t started_ms = 0;
+};
+
+/// Endpoints that the sender finds slow, failing or leaving.
 struct endpoint_troubles {
   std::vector<endpoint_health_report> reports;
+  std::vector<endpoint_departure> departures;
 };
 
 using peer_message = std::variant<hello_message,
--- a/src/include/trefoilmill/process/endpoint_registry.h
+++ b/src/include/trefoilmill/process/endpoint_registry.h
@@ -55,6 +55,9 @@
     /// A different endpoint answered at this address, so that no requests may
     /// be sent to it.
     bool address_reused = false;
+    /// Until when a draining endpoint may serve a shard that has no other;
+    /// unset if it is not draining, or if it is unknown since when.
+    std::optional<time_point> last_resort_until;
   };
 
   /// @name Changes to the set of endpoints
@@ -77,10 +80,13 @@
   using changes = std::vector<change>;
   /// @}
 
-  /// Keeps a withdrawn entry for `grace_period` before removing it.
-  explicit endpoint_registry(duration grace_period);
+  /// Keeps a withdrawn entry for `grace_period` before removing it. For `drain`
+  /// after it began to drain, an endpoint must be expected to serve.
+  endpoint_registry(duration grace_period, duration drain);
 
-  /// Adds or updates an endpoint that the platform announced.
+  /// Adds or updates an endpoint that the platform announced. An instance that
+  /// was draining stays so whatever a later announcement of it says, as that
+  /// may be delayed or come from a restored store.
   changes Put(time_point now, const endpoint_record& record);
   /// Handles the withdrawal of an endpoint by the platform. A draining endpoint
   /// is removed immediately, any other one after the grace period. An unknown
@@ -95,6 +101,12 @@
   /// endpoint, so the entry is removed at the next RemoveExpired(). An unknown
   /// id is ignored.
   void MarkAddressReused(time_point now, const endpoint_id& id);
+  /// The endpoint itself said that it is leaving, to this host or to another:
+  /// the instance that started at `started_ms` counts as draining from now on.
+  /// Returns whether that is news.
+  bool MarkLeaving(time_point now,
+                   const endpoint_id& id,
+                   std::uint64_t started_ms);
   /// Removes the entries whose removal time has come.
   changes RemoveExpired(time_point now);
 
@@ -106,9 +118,19 @@
 
  private:
   /// Removes an endpoint, which must exist, and appends the change to `out`.
-  void Remove(const endpoint_id& id, changes& out);
+  void Remove(time_point now, const endpoint_id& id, changes& out);
+  /// Whether this instance was removed after it had begun to drain.
+  bool HasDeparted(const endpoint_record& record) const;
+
+  /// An instance that drained and was removed.
+  struct departure {
+    std::uint64_t started_ms = 0;
+    time_point forget_at;
+  };
 
   duration grace_period_;
+  duration drain_;
+  std::map<endpoint_id, departure> departures_;
   std::map<endpoint_id, entry> entries_;
   std::map<service_id, std::set<endpoint_id>> services_;
 };
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -59,7 +59,11 @@
   /// hedge, none of sufficiently low cost.
   struct no_capacity {};
   /// No endpoint of the service is usable at present.
-  struct no_usable_endpoint {};
+  struct no_usable_endpoint {
+    /// When the first endpoint that asked for a pause is usable again; unset if
+    /// none did.
+    std::optional<time_point> usable_at;
+  };
   using selection = std::variant<selected, no_capacity, no_usable_endpoint>;
   /// @}
 
@@ -89,6 +93,9 @@
   void OnConnectFailed(time_point now, const endpoint_id& id);
   /// A connection was established; ends the backoff.
   void OnConnected(const endpoint_id& id);
+  /// The endpoint refused a request and wants none for `pause`. The time is
+  /// prolonged at random, so that hosts do not all return at once.
+  void OnPauseRequested(time_point now, const endpoint_id& id, duration pause);
   /// @}
 
   /// Selects one of the service's endpoints that are not in `excluded`.
@@ -154,10 +161,15 @@
     /// Backoff after failed connection attempts.
     time_point backoff_until;
     duration backoff{};
+    /// End of the pause that the endpoint asked for.
+    time_point paused_until;
   };
 
   /// Whether the endpoint may get requests at all.
   bool IsUsable(time_point now, const endpoint_registry::entry& entry) const;
+  /// Whether only the pause that the endpoint asked for prevents its use.
+  bool IsOnlyPaused(time_point now,
+                    const endpoint_registry::entry& entry) const;
   /// Relative cost of one more request to the endpoint: about 1 for a healthy,
   /// idle endpoint in this host's zone.
   double CostOf(time_point now,
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -176,6 +176,8 @@
     bool awaiting_capacity = false;
     bool failed = false;
     bool hedged = false;
+    /// When an endpoint of a shard without usable ones ends its pause.
+    std::optional<time_point> usable_at;
     /// When a next hedge may be sent, once a first one was due. A hedge is not
     /// sent if it finds no endpoint or no budget.
     std::optional<time_point> next_hedge_at;
@@ -217,8 +219,11 @@
   void FinishGatherIfDue(time_point now,
                          const gather_target& target,
                          actions& out);
-  void FinishRelayIfDue(actions& out);
-  void Fail(reason_code reason, actions& out);
+  void FinishRelayIfDue(time_point now, actions& out);
+  void Fail(time_point now, reason_code reason, actions& out);
+  /// When a caller whose request is refused for `reason` may return: when the
+  /// last of the paused shards is usable again, if any is paused.
+  duration RetryAfter(time_point now, reason_code reason) const;
   void Finish(caller_answer answer, actions& out);
   /// Adds a wake for the next time at which something is due.
   void ScheduleWake(time_point now,
--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -81,6 +81,11 @@
   actions OnWatch(time_point now, watch_result result);
   /// The call in progress failed or returned an unusable reply.
   actions OnFailed(time_point now);
+  /// The store was restored from an older copy and is now in `era`. The call in
+  /// progress, if any, is void: its reply must not be reported. A host that
+  /// watches the store, or has no list yet, lists the latest state; others wait
+  /// for a peer's copy. The content stays until either arrives.
+  actions OnStoreRestored(store_era era);
   /// Continues after a delay, once the time of the last `wake` is reached.
   actions Tick(time_point now);
   /// Sets whether this host watches the store itself. A call in progress is not
--- a/src/include/trefoilmill/wire/log_messages.h
+++ b/src/include/trefoilmill/wire/log_messages.h
@@ -24,6 +24,7 @@
 /// @{
 inline constexpr char kStoreReached[] = "store reached";
 inline constexpr char kStoreLost[] = "store lost";
+inline constexpr char kStoreRestored[] = "store restored from an older copy";
 inline constexpr char kWatchingStore[] = "watching the store";
 inline constexpr char kLeavingStore[] = "leaving the store to peers";
 /// @}
@@ -34,8 +35,11 @@
 inline constexpr char kStandingBy[] =
     "standing by: callers are told of stronger hosts";
 inline constexpr char kZoneOut[] = "availability zone out";
+inline constexpr char kZoneBack[] = "availability zone back";
 inline constexpr char kEndpointAnnounced[] = "endpoint announced";
 inline constexpr char kEndpointWithdrawn[] = "endpoint withdrawn";
+inline constexpr char kEndpointLeaving[] = "endpoint is leaving";
+inline constexpr char kEndpointPaused[] = "endpoint asked for a pause";
 /// @}
 
 }  // namespace trefoilmill::log_message
--- a/src/libtmwire/bounded_cbor.cc
+++ b/src/libtmwire/bounded_cbor.cc
@@ -94,4 +94,25 @@
   return read ? builder.Take() : json(json::value_t::discarded);
 }
 
+json RevisionJson(const revision& at) {
+  if (at.era() == store_era()) {
+    return at.value();
+  }
+  return json::array({at.era().value(), at.value()});
+}
+
+bool ReadRevision(const json& value, revision& out) {
+  if (value.is_number_unsigned()) {
+    out = revision(value.get<std::uint64_t>());
+    return true;
+  }
+  if (!value.is_array() || value.size() != 2 ||
+      !value[0].is_number_unsigned() || !value[1].is_number_unsigned()) {
+    return false;
+  }
+  out = revision(store_era(value[0].get<std::uint64_t>()),
+                 value[1].get<std::uint64_t>());
+  return true;
+}
+
 }  // namespace trefoilmill
--- a/src/libtmwire/copy_codec.cc
+++ b/src/libtmwire/copy_codec.cc
@@ -14,8 +14,7 @@
 
 bool IsObject(const json& item) {
   return item.is_array() && item.size() == kFieldsOfObject &&
-         item[0].is_string() && item[1].is_number_unsigned() &&
-         item[2].is_string();
+         item[0].is_string() && item[2].is_string();
 }
 
 }  // namespace
@@ -23,9 +22,9 @@
 std::string EncodeCopy(const store_follower::copy& copy) {
   json objects = json::array();
   for (const stored_object& object : copy.objects) {
-    objects.push_back({object.name, object.at.value(), object.content});
+    objects.push_back({object.name, RevisionJson(object.at), object.content});
   }
-  const json whole = {copy.as_of.value(), std::move(objects)};
+  const json whole = {RevisionJson(copy.as_of), std::move(objects)};
   std::string bytes;
   json::to_cbor(whole, bytes);
   return bytes;
@@ -33,18 +32,18 @@
 
 result<store_follower::copy> DecodeCopy(const std::string& bytes) {
   const json whole = ParseBoundedCbor(bytes);
+  store_follower::copy copy;
   if (!whole.is_array() || whole.size() != 2 ||
-      !whole[0].is_number_unsigned() || !whole[1].is_array()) {
+      !ReadRevision(whole[0], copy.as_of) || !whole[1].is_array()) {
     return Malformed(reason_code::kBadRequest, "not a copy of objects");
   }
-  store_follower::copy copy;
-  copy.as_of = revision(whole[0].get<std::uint64_t>());
   for (const json& item : whole[1]) {
-    if (!IsObject(item)) {
+    revision at;
+    if (!IsObject(item) || !ReadRevision(item[1], at)) {
       return Malformed(reason_code::kBadRequest, "not an object in the copy");
     }
     copy.objects.push_back({.name = item[0].get<std::string>(),
-                            .at = revision(item[1].get<std::uint64_t>()),
+                            .at = at,
                             .content = item[2].get<std::string>()});
   }
   return copy;
--- a/src/libtmwire/copy_codec_test.cc
+++ b/src/libtmwire/copy_codec_test.cc
@@ -48,4 +48,15 @@
   BOOST_TEST((read.value() == sent));
 }
 
+BOOST_AUTO_TEST_CASE(a_copy_names_the_era_of_the_store) {
+  const revision at(store_era(3), 70);
+  const store_follower::copy sent{
+      .as_of = revision(store_era(3), 77),
+      .objects = {{.name = "a", .at = at, .content = "{}"}}};
+  const auto received = DecodeCopy(EncodeCopy(sent));
+  BOOST_TEST_REQUIRE(received.has_value());
+  BOOST_TEST((received.value().as_of == sent.as_of));
+  BOOST_TEST((received.value().objects == sent.objects));
+}
+
 }  // namespace trefoilmill
--- a/src/libtmwire/log_codec.cc
+++ b/src/libtmwire/log_codec.cc
@@ -56,6 +56,9 @@
   SetText(out, "document", fields.document.value());
   if (fields.at != revision()) {
     out["revision"] = fields.at.value();
+    if (fields.at.era() != store_era()) {
+      out["store_era"] = fields.at.era().value();
+    }
   }
   if (fields.reason != reason_code::kNone) {
     out["reason"] = ToString(fields.reason);
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -56,6 +56,8 @@
         list.push_back(ToJson(element));
       }
       return list;
+    } else if constexpr (std::is_same_v<value, revision>) {
+      return RevisionJson(v);
     } else if constexpr (std::is_same_v<value, duration>) {
       return v.count();
     } else if constexpr (std::is_enum_v<value>) {
@@ -120,6 +122,8 @@
       return element.is_null() || FromJson(element, v.emplace());
     } else if constexpr (kIsVector<value>) {
       return ListFromJson(element, v);
+    } else if constexpr (std::is_same_v<value, revision>) {
+      return ReadRevision(element, v);
     } else if constexpr (std::is_same_v<value, duration>) {
       duration::rep count{};
       return NumberFromJson(element, count) && (v = duration(count), true);
@@ -235,7 +239,9 @@
   } else if constexpr (kIs<endpoint_health_report, record>) {
     fields(r.endpoint, r.slowdown_milli, r.failure_rate_milli);
   } else if constexpr (kIs<endpoint_troubles, record>) {
-    fields(r.reports);
+    fields(r.reports, r.departures);
+  } else if constexpr (kIs<endpoint_departure, record>) {
+    fields(r.endpoint, r.started_ms);
   } else if constexpr (kIs<store_feed, record>) {
     fields(r.fresh, r.documents, r.kind, r.from, r.changes);
   } else if constexpr (kIs<hedge_started_message, record>) {
--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -140,4 +140,29 @@
   BOOST_TEST(DecodePeerFrame(maps).has_error());
 }
 
+BOOST_AUTO_TEST_CASE(digests_name_the_era_of_the_store) {
+  store_feed sent;
+  sent.documents = {
+      {.id = document_id("endpoints"), .in_force = revision(store_era(2), 9)},
+      {.id = document_id("hosts"), .in_force = revision(8)}};
+  const auto frame = DecodePeerFrame(EncodePeerFrame({.message = sent}));
+  BOOST_REQUIRE(frame.has_value());
+  const auto& got = std::get<store_feed>(frame.value().message);
+  BOOST_REQUIRE(got.documents.size() == 2U);
+  BOOST_TEST((got.documents[0].in_force == revision(store_era(2), 9)));
+  BOOST_TEST((got.documents[1].in_force == revision(8)));
+}
+
+BOOST_AUTO_TEST_CASE(departures_round_trip) {
+  const endpoint_troubles sent{
+      .reports = {},
+      .departures = {{.endpoint = endpoint_id("i-7"), .started_ms = 1700}}};
+  const auto frame = DecodePeerFrame(EncodePeerFrame({.message = sent}));
+  BOOST_REQUIRE(frame.has_value());
+  const auto& got = std::get<endpoint_troubles>(frame.value().message);
+  BOOST_REQUIRE(got.departures.size() == 1U);
+  BOOST_TEST(got.departures[0].endpoint.value() == "i-7");
+  BOOST_TEST(got.departures[0].started_ms == 1700U);
+}
+
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/process/endpoint_registry.cc
+++ b/src/libtrefoilmill/process/endpoint_registry.cc
@@ -12,10 +12,18 @@
          a.started_ms == b.started_ms;
 }
 
+/// How long delayed announcements of an instance that has left are ignored.
+constexpr duration kDepartureMemory = std::chrono::minutes(2);
+/// How much sooner than its drain time ends a draining endpoint stops serving
+/// as a last resort, so that requests on their way arrive in time.
+constexpr duration kLastResortMargin = std::chrono::milliseconds(1300);
+/// How late this host may learn that an endpoint announced to be draining.
+constexpr duration kAnnouncementDelay = std::chrono::milliseconds(2000);
+
 }  // namespace
 
-endpoint_registry::endpoint_registry(duration grace_period)
-    : grace_period_(grace_period) {}
+endpoint_registry::endpoint_registry(duration grace_period, duration drain)
+    : grace_period_(grace_period), drain_(drain) {}
 
 endpoint_registry::changes endpoint_registry::Put(
     time_point now,
@@ -23,6 +31,9 @@
   changes out;
   const auto found = entries_.find(record.id);
   const bool known = found != entries_.end();
+  if (!known && HasDeparted(record)) {
+    return out;
+  }
   if (known && found->second.record.service != record.service) {
     services_[found->second.record.service].erase(record.id);
   }
@@ -32,7 +43,18 @@
     out.emplace_back(replaced{record.id});
   }
   entry& stored = entries_[record.id];
+  const bool same_instance =
+      known && IsSameInstance(stored.record, record) && record.started_ms != 0;
+  const bool was_draining = known && stored.record.draining;
+  if (!same_instance) {
+    stored.last_resort_until.reset();
+  }
   stored.record = record;
+  stored.record.draining = record.draining || (same_instance && was_draining);
+  if (same_instance && record.draining && !was_draining) {
+    stored.last_resort_until =
+        now + drain_ - kLastResortMargin - kAnnouncementDelay;
+  }
   stored.remove_at.reset();
   stored.address_reused = false;
   stored.cold_until.reset();
@@ -51,7 +73,7 @@
     return out;
   }
   if (found->second.record.draining) {
-    Remove(id, out);
+    Remove(now, id, out);
   } else if (!found->second.remove_at.has_value()) {
     found->second.remove_at = now + grace_period_;
   }
@@ -85,8 +107,30 @@
   }
 }
 
+bool endpoint_registry::MarkLeaving(time_point now,
+                                    const endpoint_id& id,
+                                    std::uint64_t started_ms) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.record.draining ||
+      found->second.record.started_ms != started_ms) {
+    return false;
+  }
+  found->second.record.draining = true;
+  found->second.last_resort_until = now + drain_ - kLastResortMargin;
+  return true;
+}
+
+bool endpoint_registry::HasDeparted(const endpoint_record& record) const {
+  const auto found = departures_.find(record.id);
+  return found != departures_.end() && record.started_ms != 0 &&
+         found->second.started_ms == record.started_ms;
+}
+
 endpoint_registry::changes endpoint_registry::RemoveExpired(time_point now) {
   changes out;
+  std::erase_if(departures_, [now](const auto& departed) {
+    return departed.second.forget_at <= now;
+  });
   std::vector<endpoint_id> expired;
   for (const auto& [id, stored] : entries_) {
     if (stored.remove_at.has_value() && *stored.remove_at <= now) {
@@ -94,13 +138,19 @@
     }
   }
   for (const endpoint_id& id : expired) {
-    Remove(id, out);
+    Remove(now, id, out);
   }
   return out;
 }
 
-void endpoint_registry::Remove(const endpoint_id& id, changes& out) {
+void endpoint_registry::Remove(time_point now,
+                               const endpoint_id& id,
+                               changes& out) {
   const auto found = entries_.find(id);
+  if (found->second.record.draining) {
+    departures_[id] = {.started_ms = found->second.record.started_ms,
+                       .forget_at = now + kDepartureMemory};
+  }
   services_[found->second.record.service].erase(id);
   entries_.erase(found);
   out.emplace_back(removed{id});
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -55,6 +55,8 @@
 /// Initial and maximum backoff after failed connection attempts.
 constexpr duration kInitialBackoff = std::chrono::milliseconds(200);
 constexpr duration kMaxBackoff = std::chrono::milliseconds(2000);
+/// A pause is prolonged by up to this fraction of its length.
+constexpr double kMaxPauseExtension = 0.1;
 
 struct candidate {
   endpoint_id id;
@@ -99,14 +101,40 @@
   stats.backoff_until = time_point();
 }
 
+void endpoint_selector::OnPauseRequested(time_point now,
+                                         const endpoint_id& id,
+                                         duration pause) {
+  const auto found = stats_.find(id);
+  if (found == stats_.end()) {
+    return;
+  }
+  std::uniform_real_distribution<double> extension(1, 1 + kMaxPauseExtension);
+  const auto length = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(pause) * extension(rng_));
+  found->second.paused_until =
+      std::max(found->second.paused_until, now + length);
+}
+
 bool endpoint_selector::IsUsable(time_point now,
                                  const endpoint_registry::entry& entry) const {
-  if (entry.record.draining || entry.address_reused ||
-      zones_out_.contains(entry.record.zone)) {
+  if (entry.address_reused || zones_out_.contains(entry.record.zone)) {
+    return false;
+  }
+  if (entry.record.draining && (!entry.last_resort_until.has_value() ||
+                                *entry.last_resort_until <= now)) {
     return false;
   }
   const auto found = stats_.find(entry.record.id);
-  return found != stats_.end() && found->second.backoff_until <= now;
+  return found != stats_.end() && found->second.backoff_until <= now &&
+         found->second.paused_until <= now;
+}
+
+bool endpoint_selector::IsOnlyPaused(
+    time_point now,
+    const endpoint_registry::entry& entry) const {
+  const auto found = stats_.find(entry.record.id);
+  return found != stats_.end() && found->second.paused_until > now &&
+         IsUsable(found->second.paused_until, entry);
 }
 
 double endpoint_selector::CostOf(time_point now,
@@ -150,12 +178,20 @@
     duration expected,
     purpose send_purpose) {
   bool usable = false;
+  std::optional<time_point> usable_at;
   std::vector<candidate> warm;
   std::vector<candidate> cold;
+  std::vector<candidate> last_resort;
   for (const endpoint_id& id : registry.EndpointsOf(service)) {
     const endpoint_registry::entry& entry = *registry.Find(id);
-    if (!IsUsable(now, entry) ||
-        std::ranges::find(excluded, id) != excluded.end()) {
+    if (std::ranges::find(excluded, id) != excluded.end()) {
+      continue;
+    }
+    if (IsOnlyPaused(now, entry)) {
+      const time_point end = stats_.at(id).paused_until;
+      usable_at = std::min(usable_at.value_or(end), end);
+    }
+    if (!IsUsable(now, entry)) {
       continue;
     }
     usable = true;
@@ -169,12 +205,14 @@
     }
     const bool is_cold =
         entry.cold_until.has_value() && *entry.cold_until > now;
-    (is_cold ? cold : warm)
-        .push_back({.id = id, .weight = std::pow(cost, -kCostExponent)});
+    auto& group = entry.record.draining ? last_resort : is_cold ? cold : warm;
+    group.push_back({.id = id, .weight = std::pow(cost, -kCostExponent)});
   }
-  const auto& candidates = warm.empty() ? cold : warm;
+  const auto& serving = warm.empty() ? cold : warm;
+  const auto& candidates = serving.empty() ? last_resort : serving;
   if (candidates.empty()) {
-    return usable ? selection(no_capacity{}) : selection(no_usable_endpoint{});
+    return usable ? selection(no_capacity{})
+                  : selection(no_usable_endpoint{.usable_at = usable_at});
   }
   std::vector<double> weights;
   std::ranges::transform(candidates, std::back_inserter(weights),
--- a/src/libtrefoilmill/process/endpoint_selector_test.cc
+++ b/src/libtrefoilmill/process/endpoint_selector_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <set>
 
 namespace trefoilmill {
 namespace {
@@ -16,7 +17,7 @@
 
 struct fixture {
   time_point now{seconds(1)};
-  endpoint_registry registry{milliseconds(2200)};
+  endpoint_registry registry{milliseconds(2200), milliseconds(6000)};
   endpoint_selector selector{own_zone, std::mt19937_64(7)};
   std::uint64_t attempts = 0;
 
@@ -209,4 +210,69 @@
   BOOST_TEST(CountChoices()["a"] < 60);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_paused_endpoint_gets_nothing_until_the_pause_ends,
+                        fixture) {
+  selector.OnPauseRequested(now, endpoint_id("a"), seconds(2));
+  BOOST_TEST(!CountChoices().contains("a"));
+  now += milliseconds(1999);
+  BOOST_TEST(!CountChoices().contains("a"));
+  now += milliseconds(202);
+  BOOST_TEST(CountChoices().contains("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_shorter_pause_does_not_end_a_longer_one, fixture) {
+  selector.OnPauseRequested(now, endpoint_id("a"), seconds(5));
+  selector.OnPauseRequested(now, endpoint_id("a"), seconds(1));
+  now += seconds(4);
+  BOOST_TEST(!CountChoices().contains("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_service_on_pause_says_when_it_is_usable, fixture) {
+  for (const char* id : {"a", "b", "c"}) {
+    selector.OnPauseRequested(now, endpoint_id(id),
+                              id[0] == 'b' ? seconds(1) : seconds(3));
+  }
+  const auto selection =
+      selector.Select(now, registry, test_service, {}, kExpectedLatency,
+                      endpoint_selector::purpose::kFirst);
+  const auto* none =
+      std::get_if<endpoint_selector::no_usable_endpoint>(&selection);
+  BOOST_TEST_REQUIRE(none != nullptr);
+  BOOST_TEST_REQUIRE(none->usable_at.has_value());
+  BOOST_TEST((*none->usable_at >= now + seconds(1)));
+  BOOST_TEST((*none->usable_at <= now + milliseconds(1100)));
+}
+
+// All hosts are told to pause for the same time, by the same endpoint.
+BOOST_AUTO_TEST_CASE(hosts_return_from_a_pause_at_different_times) {
+  std::set<time_point> returns;
+  for (unsigned host = 0; host < 20; ++host) {
+    fixture f;
+    f.selector = endpoint_selector(own_zone, std::mt19937_64(host));
+    for (const char* id : {"a", "b", "c"}) {
+      f.Put(id);
+      f.selector.OnPauseRequested(f.now, endpoint_id(id), seconds(2));
+    }
+    const auto selection =
+        f.selector.Select(f.now, f.registry, test_service, {}, kExpectedLatency,
+                          endpoint_selector::purpose::kFirst);
+    returns.insert(std::get<endpoint_selector::no_usable_endpoint>(selection)
+                       .usable_at.value());
+  }
+  BOOST_TEST(returns.size() == 20U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_leaving_endpoint_serves_only_as_a_last_resort,
+                        fixture) {
+  registry.MarkLeaving(now, endpoint_id("a"), 0);
+  BOOST_TEST(!CountChoices().contains("a"));
+  selector.OnConnectFailed(now, endpoint_id("b"));
+  selector.OnConnectFailed(now, endpoint_id("c"));
+  BOOST_TEST(CountChoices().at("a") == 1000);
+  now = *registry.Find(endpoint_id("a"))->last_resort_until;
+  selector.OnConnectFailed(now, endpoint_id("b"));
+  selector.OnConnectFailed(now, endpoint_id("c"));
+  BOOST_TEST(CountChoices().empty());
+}
+
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -162,6 +162,8 @@
     return;
   }
   s.failed = true;
+  s.usable_at =
+      std::get<endpoint_selector::no_usable_endpoint>(selection).usable_at;
   ++counts_.without_endpoint;
   counts_.last_failure = reason_code::kNoReplica;
 }
@@ -392,13 +394,13 @@
   if (const auto* gather = std::get_if<gather_target>(&route_->target)) {
     FinishGatherIfDue(now, *gather, out);
   } else {
-    FinishRelayIfDue(out);
+    FinishRelayIfDue(now, out);
   }
   if (!finished_ && now >= answer_deadline_) {
-    Fail(reason_code::kDeadlineExceeded, out);
+    Fail(now, reason_code::kDeadlineExceeded, out);
   }
   if (!finished_ && counts_.sends == 0 && now >= CapacityDeadline()) {
-    Fail(reason_code::kOverloaded, out);
+    Fail(now, reason_code::kOverloaded, out);
   }
 }
 
@@ -406,7 +408,8 @@
                                     const gather_target& target,
                                     actions& out) {
   if (AttainableCoverage() < target.min_coverage || AttainableCoverage() <= 0) {
-    Fail(counts_.last_failure == reason_code::kNone
+    Fail(now,
+         counts_.last_failure == reason_code::kNone
              ? reason_code::kCoverageTooLow
              : counts_.last_failure,
          out);
@@ -431,7 +434,7 @@
   }
 }
 
-void request_run::FinishRelayIfDue(actions& out) {
+void request_run::FinishRelayIfDue(time_point now, actions& out) {
   shard& only = shards_.front();
   if (only.reply.has_value()) {
     Finish(relayed_answer{.response = std::move(only.reply->response),
@@ -440,7 +443,7 @@
     return;
   }
   if (only.failed) {
-    Fail(counts_.last_failure, out);
+    Fail(now, counts_.last_failure, out);
   }
 }
 
@@ -459,16 +462,16 @@
   return answer;
 }
 
-void request_run::Fail(reason_code reason, actions& out) {
+void request_run::Fail(time_point now, reason_code reason, actions& out) {
   const bool may_have_run = std::ranges::any_of(shards_, [](const shard& s) {
     return s.reply.has_value() || !s.in_flight.empty() ||
            s.worst_verdict != verdict::kNotRun;
   });
   // Sends that are only planned cannot have run.
   if (planning_ || !may_have_run) {
-    const duration retry_after =
-        reason == reason_code::kShed ? kShedRetryAfter : kDefaultRetryAfter;
-    Finish(refused_answer{.reason = reason, .retry_after = retry_after}, out);
+    Finish(refused_answer{.reason = reason,
+                          .retry_after = RetryAfter(now, reason)},
+           out);
     return;
   }
   const bool is_relay = std::holds_alternative<relay_target>(route_->target);
@@ -482,6 +485,19 @@
   Finish(failed_answer{.reason = reason}, out);
 }
 
+duration request_run::RetryAfter(time_point now, reason_code reason) const {
+  std::optional<time_point> usable_at;
+  for (const shard& s : shards_) {
+    if (s.failed && s.usable_at.has_value()) {
+      usable_at = std::max(usable_at.value_or(now), *s.usable_at);
+    }
+  }
+  if (usable_at.has_value()) {
+    return std::max(*usable_at - now, kShedRetryAfter);
+  }
+  return reason == reason_code::kShed ? kShedRetryAfter : kDefaultRetryAfter;
+}
+
 void request_run::Finish(caller_answer answer, actions& out) {
   finished_ = true;
   out.emplace_back(finish{std::move(answer)});
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -60,7 +60,7 @@
 
 store_follower::actions store_follower::SetWatching(bool watching) {
   watch_enabled_ = watching;
-  if (watching && listed_ && stage_ == stage::kIdle) {
+  if (watching && stage_ == stage::kIdle) {
     return StartNextCall();
   }
   return {};
@@ -134,6 +134,10 @@
                                                 watch_result result) {
   consecutive_failures_ = 0;
   last_reply_at_ = now;
+  if (const auto* changes = std::get_if<object_changes>(&result);
+      changes != nullptr && changes->as_of.era() < as_of_.era()) {
+    return StartNextCall();
+  }
   if (std::holds_alternative<history_compacted>(result)) {
     listed_ = false;
     requires_latest_list_ = true;
@@ -181,6 +185,22 @@
   return out;
 }
 
+store_follower::actions store_follower::OnStoreRestored(store_era era) {
+  list_after_.clear();
+  list_items_.clear();
+  probe_sent_ = false;
+  requires_latest_list_ = true;
+  if (as_of_.era() < era) {
+    const bool learns_from_peers = listed_ && !watch_enabled_;
+    listed_ = false;
+    if (learns_from_peers) {
+      stage_ = stage::kIdle;
+      return {};
+    }
+  }
+  return StartNextCall();
+}
+
 store_follower::actions store_follower::OnFailed(time_point now) {
   const int doublings = std::min(consecutive_failures_, kMaxBackoffDoublings);
   ++consecutive_failures_;
@@ -205,6 +225,10 @@
   if (peer.as_of <= as_of_) {
     return {};
   }
+  if (stage_ == stage::kIdle) {
+    // Watches go on from the copy, and need no list.
+    listed_ = true;
+  }
   actions out;
   ReplaceContent(std::move(peer.objects), peer.as_of, out);
   return out;
--- a/src/libtrefoilmill/version/store_follower_test.cc
+++ b/src/libtrefoilmill/version/store_follower_test.cc
@@ -226,4 +226,78 @@
   BOOST_TEST(follower.as_of().value() == 30U);
 }
 
+// The store goes back to an older copy: revisions are lost and used again.
+BOOST_FIXTURE_TEST_CASE(a_restored_store_is_listed_again, fixture) {
+  follower.Start();
+  Resume(List({Object("a", 3)}, 50));
+  const auto restored = follower.OnStoreRestored(store_era(1));
+  const auto* page = Find<store_follower::list_page>(restored);
+  BOOST_TEST_REQUIRE(page != nullptr);
+  BOOST_TEST(page->after.empty());
+  BOOST_TEST(!page->may_be_stale);
+  // The content stays until the list is complete.
+  BOOST_TEST(follower.objects().contains("a"));
+  const revision later(store_era(1), 7);
+  follower.OnPage(now, {.items = {{.name = "b", .at = later, .content = "{}"}},
+                        .has_more = false,
+                        .as_of = later});
+  BOOST_TEST(!follower.objects().contains("a"));
+  BOOST_TEST(follower.objects().contains("b"));
+  BOOST_TEST((follower.as_of() == later));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_restoration_voids_the_pages_read_so_far, fixture) {
+  follower.Start();
+  follower.OnPage(
+      now, {.items = {Object("a", 3)}, .has_more = true, .as_of = revision(9)});
+  const auto restored = follower.OnStoreRestored(store_era(1));
+  BOOST_TEST_REQUIRE(Find<store_follower::list_page>(restored) != nullptr);
+  BOOST_TEST(Find<store_follower::list_page>(restored)->after.empty());
+  const revision later(store_era(1), 4);
+  follower.OnPage(now, {.items = {{.name = "b", .at = later, .content = "{}"}},
+                        .has_more = false,
+                        .as_of = later});
+  BOOST_TEST(follower.objects().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_host_that_does_not_watch_waits_for_a_peers_copy,
+                        fixture) {
+  follower.Start();
+  follower.SetWatching(false);
+  Resume(List({Object("a", 3)}, 50));
+  BOOST_TEST(follower.OnStoreRestored(store_era(1)).empty());
+  BOOST_TEST(follower.objects().contains("a"));
+  const revision later(store_era(1), 7);
+  const auto copied =
+      follower.OnPeerCopy({.as_of = later, .objects = {Object("b", 2)}});
+  BOOST_TEST(Find<store_follower::content_replaced>(copied) != nullptr);
+  // It would go on from the copy, without a list.
+  const auto watching = follower.SetWatching(true);
+  const auto* watch = Find<store_follower::watch>(watching);
+  BOOST_TEST_REQUIRE(watch != nullptr);
+  BOOST_TEST((watch->since == later));
+}
+
+BOOST_FIXTURE_TEST_CASE(replies_of_an_earlier_era_change_nothing, fixture) {
+  follower.Start();
+  Resume(List({Object("a", 3)}, 50));
+  const revision later(store_era(1), 7);
+  follower.OnPeerCopy({.as_of = later, .objects = {}});
+  const auto late = follower.OnWatch(
+      now, object_changes{.events = {{.object = Object("c", 60)}},
+                          .as_of = revision(60)});
+  BOOST_TEST(follower.objects().empty());
+  BOOST_TEST((follower.as_of() == later));
+  const auto* watch = Find<store_follower::watch>(late);
+  BOOST_TEST_REQUIRE(watch != nullptr);
+  BOOST_TEST((watch->since == later));
+  BOOST_TEST(
+      follower
+          .OnPeerChanges(revision(50), {.events = {{.object = Object("c", 60)}},
+                                        .as_of = revision(60)})
+          .empty());
+  BOOST_TEST(
+      follower.OnPeerCopy({.as_of = revision(99), .objects = {}}).empty());
+}
+
 }  // namespace trefoilmill
--- a/src/trefoilmill_entry/connection_pools.cc
+++ b/src/trefoilmill_entry/connection_pools.cc
@@ -45,6 +45,8 @@
   socket_address address;
   int connection_limit = 1;
   bool removed = false;
+  /// The endpoint is leaving.
+  bool retired = false;
   /// How long the endpoint keeps an idle connection open.
   duration idle_timeout = kDefaultIdleTimeout;
   /// No connection is opened before this time.
@@ -115,6 +117,16 @@
   }
 }
 
+void connection_pools::Retire(const endpoint_id& id) {
+  const auto found = pools_.find(id);
+  if (found == pools_.end() || found->second->retired) {
+    return;
+  }
+  pool& p = *found->second;
+  p.retired = true;
+  CloseIdle(p, [](const connection& /*c*/) { return true; });
+}
+
 void connection_pools::Remove(const endpoint_id& id) {
   const auto found = pools_.find(id);
   if (found == pools_.end()) {
@@ -286,7 +298,7 @@
 }
 
 void connection_pools::EnsureIdleConnection(pool& p) {
-  if (!standby_) {
+  if (!standby_ && !p.retired) {
     OpenIfAllowed(p);
   }
 }
@@ -304,25 +316,35 @@
   const time_point now = loop_.Now();
   for (auto& p : pools_ | std::views::values) {
     const duration longest_idle = p->idle_timeout - kIdleMargin;
+    const bool rarely_used = standby_ || p->retired;
     const duration idle_limit =
-        standby_ ? std::min(longest_idle, kStandbyIdleTimeout) : longest_idle;
-    std::vector<connection*> expired;
-    for (const auto& c : p->connections) {
-      const bool idle = !c->connecting && !c->busy;
-      const bool surplus =
-          static_cast<int>(p->connections.size() - expired.size()) >
-          p->connection_limit;
-      if (idle && (now - c->idle_since > idle_limit || surplus)) {
-        expired.push_back(c.get());
-      }
-    }
-    for (const connection* c : expired) {
-      Close(*p, *c);
-    }
+        rarely_used ? std::min(longest_idle, kStandbyIdleTimeout)
+                    : longest_idle;
+    int open = static_cast<int>(p->connections.size());
+    CloseIdle(*p, [&](const connection& c) {
+      const bool surplus = open > p->connection_limit;
+      const bool closes = now - c.idle_since > idle_limit || surplus;
+      open -= closes ? 1 : 0;
+      return closes;
+    });
     EnsureIdleConnection(*p);
   }
 }
 
+void connection_pools::CloseIdle(
+    pool& p,
+    const std::function<bool(const connection&)>& closes) {
+  std::vector<connection*> chosen;
+  for (const auto& c : p.connections) {
+    if (!c->connecting && !c->busy && closes(*c)) {
+      chosen.push_back(c.get());
+    }
+  }
+  for (const connection* c : chosen) {
+    Close(p, *c);
+  }
+}
+
 std::size_t connection_pools::open_connections() const {
   std::size_t open = 0;
   for (const auto& p : pools_ | std::views::values) {
--- a/src/trefoilmill_entry/connection_pools.h
+++ b/src/trefoilmill_entry/connection_pools.h
@@ -47,6 +47,9 @@
   /// Opens a connection for a waiting request, unless one is idle or being
   /// opened, the limit is reached or the endpoint just closed one unused.
   void RequestConnection(const endpoint_id& id);
+  /// The endpoint is leaving: closes its idle connections, and keeps none open
+  /// from now on. RequestConnection() still opens one.
+  void Retire(const endpoint_id& id);
   /// Closes idle connections immediately and busy ones after their reply.
   void Remove(const endpoint_id& id);
 
@@ -78,9 +81,12 @@
   void OnClosedByPeer(pool& p, const connection& c);
   /// Closes the connection and removes it from the pool.
   void Close(pool& p, const connection& c);
+  /// Closes those idle connections for which `closes` returns true.
+  void CloseIdle(pool& p, const std::function<bool(const connection&)>& closes);
   /// Reports the number of idle connections to the placement.
   void ReportIdleCount(pool& p);
-  /// Opens a connection if none is idle, unless this host is on standby.
+  /// Opens a connection if none is idle, unless this host is on standby or the
+  /// endpoint is leaving.
   void EnsureIdleConnection(pool& p);
   void OpenIfAllowed(pool& p);
 
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -51,7 +51,8 @@
 }
 
 shared_request_state CreateSharedState(const entry_settings& settings) {
-  return {.registry = endpoint_registry(VanishedRetention(settings)),
+  return {.registry =
+              endpoint_registry(VanishedRetention(settings), settings.drain),
           .selector = endpoint_selector(
               settings.zone, std::mt19937_64(std::random_device()())),
           .extra_sends = extra_send_budget(settings.extra_sends),
@@ -106,6 +107,8 @@
   process->requests_ = std::make_unique<request_handler>(
       loop, process->shared_state_, *process->pools_, process->telemetry_,
       std::mt19937_64(random()));
+  process->requests_->OnEndpointLeaving(
+      [self](const endpoint_id& id) { self->OnEndpointLeaving(id); });
   process->store_ = std::make_unique<store_sync>(
       loop, settings.store, settings.callers.ip, process->telemetry_,
       store_sync::callbacks{
@@ -127,7 +130,13 @@
   }
   auto peers = peer_gossip::Create(
       loop, settings, *process->store_, process->shared_state_.selector,
-      process->telemetry_, [self] { self->OnHostsChanged(); },
+      process->telemetry_,
+      peer_gossip::callbacks{
+          .on_hosts_changed = [self] { self->OnHostsChanged(); },
+          .on_departure =
+              [self](const host_id& from, const endpoint_departure& departure) {
+                self->OnPeerDeparture(from, departure);
+              }},
       std::mt19937_64(random()));
   if (!peers.has_value()) {
     return peers.error();
@@ -253,6 +262,7 @@
   telemetry_.meter->Observe(metric::kLoopDelay,
                             std::max(delay, duration::zero()));
   ApplyEndpointChanges(shared_state_.registry.RemoveExpired(now));
+  ApplyZonesOut();
   pools_->MaintainConnections();
   // A host that becomes ready does not change its membership state, so the
   // entry hosts have to be checked periodically.
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -14,6 +14,7 @@
 #include "trefoilmill/process/sending_hosts.h"
 #include "trefoilmill/process/shared_request_state.h"
 #include "trefoilmill/version/route_table.h"
+#include "trefoilmill/version/zones_out.h"
 #include "trefoilmill_entry/connection_pools.h"
 #include "trefoilmill_entry/peer_gossip.h"
 #include "trefoilmill_entry/request_handler.h"
@@ -51,12 +52,26 @@
   /// One object was written or deleted.
   void OnObjectChanged(object_kind kind, const object_event& event);
   void UpdateConfiguration();
+  /// Logs that the store shows an older version than the one in force, as after
+  /// a restoration.
+  void LogOutdatedConfiguration(const stored_object& object,
+                                config_version version);
   void UpdateZonesOut();
+  /// Passes changes of the zones in effect on to the selector.
+  void ApplyZonesOut();
   void UpdateHosts();
   void UpdateEndpoints();
   void UpdateEndpoint(const stored_object& object);
+  /// Logs an endpoint that is new or has changed.
+  void LogAnnounced(const endpoint_record& record, revision at);
+  /// An endpoint's own reply said that it is leaving.
+  void OnEndpointLeaving(const endpoint_id& id);
+  /// Another host was told that an endpoint is leaving.
+  void OnPeerDeparture(const host_id& from,
+                       const endpoint_departure& departure);
   /// Creates, replaces and removes connection pools after changes of endpoints.
   void ApplyEndpointChanges(const endpoint_registry::changes& changes);
+  void RetireDrainingPools();
   /// Updates the entry hosts and this host's shares after changes of hosts.
   void OnHostsChanged();
   /// Chooses the hosts named to callers; returns whether they changed.
@@ -92,6 +107,9 @@
   /// The hosts named to callers when this host's shares were last computed.
   std::vector<host_record> entry_hosts_;
   sending_hosts sending_hosts_;
+  zones_out zones_out_;
+  /// The zones that the selector leaves out.
+  std::set<zone_id> zones_out_in_effect_;
   bool endpoints_known_ = false;
   bool was_ready_ = false;
   bool shutting_down_ = false;
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -62,10 +62,9 @@
                            .detail = decoded.error().detail});
     return;
   }
-  const bool outdated =
-      route_table_ != nullptr &&
-      decoded.value().version <= route_table_->config().version;
-  if (outdated) {
+  if (route_table_ != nullptr &&
+      decoded.value().version <= route_table_->config().version) {
+    LogOutdatedConfiguration(found->second, decoded.value().version);
     return;
   }
   auto table = route_table::Create(std::move(decoded.value()));
@@ -94,13 +93,47 @@
   ReportReadiness();
 }
 
+void entry_process::LogOutdatedConfiguration(const stored_object& object,
+                                             config_version version) {
+  const config_version in_force = route_table_->config().version;
+  if (version == in_force) {
+    return;
+  }
+  telemetry_.log->Warning(
+      "older configuration ignored; the newer one stays in force",
+      {.at = object.at,
+       .inputs = {
+           {"version", static_cast<std::int64_t>(version.value())},
+           {"version_in_force", static_cast<std::int64_t>(in_force.value())}}});
+}
+
 void entry_process::UpdateZonesOut() {
-  std::set<zone_id> out;
-  for (const auto& name :
-       std::views::keys(store_->Follower(object_kind::kZonesOut).objects())) {
-    out.insert(zone_id(name));
-    telemetry_.log->Info(log_message::kZoneOut, {.zone = zone_id(name)});
+  const store_follower& follower = store_->Follower(object_kind::kZonesOut);
+  std::set<zone_id> listed;
+  for (const auto& name : std::views::keys(follower.objects())) {
+    listed.insert(zone_id(name));
+  }
+  zones_out_.Replace(loop_.Now(), follower.changed_at().era(),
+                     std::move(listed));
+  ApplyZonesOut();
+}
+
+void entry_process::ApplyZonesOut() {
+  std::set<zone_id> out = zones_out_.InEffect(loop_.Now());
+  if (out == zones_out_in_effect_) {
+    return;
+  }
+  for (const zone_id& zone : out) {
+    if (!zones_out_in_effect_.contains(zone)) {
+      telemetry_.log->Info(log_message::kZoneOut, {.zone = zone});
+    }
   }
+  for (const zone_id& zone : zones_out_in_effect_) {
+    if (!out.contains(zone)) {
+      telemetry_.log->Info(log_message::kZoneBack, {.zone = zone});
+    }
+  }
+  zones_out_in_effect_ = out;
   shared_state_.selector.SetZonesOutOfService(std::move(out));
 }
 
@@ -120,12 +153,47 @@
   peers_->SetListedHosts(std::move(hosts));
 }
 
+void entry_process::LogAnnounced(const endpoint_record& record, revision at) {
+  telemetry_.log->Info(log_message::kEndpointAnnounced,
+                       {.endpoint = record.id,
+                        .zone = record.zone,
+                        .at = at,
+                        .detail = record.draining ? "draining" : "ready",
+                        .inputs = {{"service", record.service.value()},
+                                   {"cold_for_us", record.cold_for.count()}}});
+}
+
+void entry_process::OnEndpointLeaving(const endpoint_id& id) {
+  pools_->Retire(id);
+  const auto* entry = shared_state_.registry.Find(id);
+  peers_->ReportDeparture(
+      {.endpoint = id, .started_ms = entry->record.started_ms});
+}
+
+void entry_process::OnPeerDeparture(const host_id& from,
+                                    const endpoint_departure& departure) {
+  if (!shared_state_.registry.MarkLeaving(loop_.Now(), departure.endpoint,
+                                          departure.started_ms)) {
+    return;
+  }
+  pools_->Retire(departure.endpoint);
+  telemetry_.log->Info(log_message::kEndpointLeaving,
+                       {.endpoint = departure.endpoint,
+                        .peer = from,
+                        .detail = "reported by a peer"});
+}
+
 void entry_process::UpdateEndpoints() {
+  const auto& registry = shared_state_.registry;
   std::vector<endpoint_record> records;
   for (const stored_object& object : std::views::values(
            store_->Follower(object_kind::kEndpoints).objects())) {
     auto record = platform::DecodeEndpoint(object);
     if (record.has_value()) {
+      // The first list is the state at the start, not news.
+      if (endpoints_known_ && registry.Find(record.value().id) == nullptr) {
+        LogAnnounced(record.value(), object.at);
+      }
       records.push_back(std::move(record.value()));
     } else {
       telemetry_.log->Warning("malformed endpoint record ignored",
@@ -135,6 +203,7 @@
     }
   }
   ApplyEndpointChanges(shared_state_.registry.ReplaceAll(loop_.Now(), records));
+  RetireDrainingPools();
   endpoints_known_ = true;
   ReportReadiness();
 }
@@ -148,15 +217,9 @@
                              .detail = record.error().detail});
     return;
   }
-  telemetry_.log->Info(
-      log_message::kEndpointAnnounced,
-      {.endpoint = record.value().id,
-       .zone = record.value().zone,
-       .at = object.at,
-       .detail = record.value().draining ? "draining" : "ready",
-       .inputs = {{"service", record.value().service.value()},
-                  {"cold_for_us", record.value().cold_for.count()}}});
+  LogAnnounced(record.value(), object.at);
   ApplyEndpointChanges(shared_state_.registry.Put(loop_.Now(), record.value()));
+  RetireDrainingPools();
 }
 
 void entry_process::ApplyEndpointChanges(
@@ -189,6 +252,14 @@
   }
 }
 
+void entry_process::RetireDrainingPools() {
+  for (const auto& [id, entry] : shared_state_.registry.entries()) {
+    if (entry.record.draining) {
+      pools_->Retire(id);
+    }
+  }
+}
+
 int entry_process::ConnectionLimit(const endpoint_record& record) const {
   if (route_table_ == nullptr) {
     return 0;
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -40,6 +40,8 @@
 /// How often a host reports endpoints in trouble, and how many at most.
 constexpr duration kReportInterval = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxReportedEndpoints = 24;
+/// How often a departure is reported, as datagrams may be lost.
+constexpr int kDepartureReports = 3;
 /// With at most this many receivers, feeds and reports also go to other zones.
 constexpr std::size_t kMaxCrossZoneReceivers = 16;
 /// Largest total content of the changes in one datagram, in bytes.
@@ -84,7 +86,7 @@
     store_sync& store,
     endpoint_selector& endpoint_placement,
     telemetry& process_telemetry,
-    std::function<void()> on_hosts_changed,
+    callbacks on_event,
     std::mt19937_64 random) {
   host_record self{.id = settings.host,
                    .zone = settings.zone,
@@ -98,10 +100,9 @@
   if (!members.has_value()) {
     return members.error();
   }
-  std::unique_ptr<peer_gossip> created(
-      new peer_gossip(loop, settings, store, endpoint_placement,
-                      process_telemetry, std::move(on_hosts_changed),
-                      std::move(self), std::move(members.value())));
+  std::unique_ptr<peer_gossip> created(new peer_gossip(
+      loop, settings, store, endpoint_placement, process_telemetry,
+      std::move(on_event), std::move(self), std::move(members.value())));
   peer_gossip* gossip = created.get();
   auto socket = datagram_socket::Bind(
       loop, settings.peers,
@@ -137,14 +138,14 @@
                          store_sync& store,
                          endpoint_selector& endpoint_placement,
                          telemetry& process_telemetry,
-                         std::function<void()> on_hosts_changed,
+                         callbacks on_event,
                          host_record self,
                          membership members)
     : loop_(loop),
       store_(store),
       placement_(endpoint_placement),
       telemetry_(process_telemetry),
-      on_hosts_changed_(std::move(on_hosts_changed)),
+      callbacks_(std::move(on_event)),
       self_(std::move(self)),
       membership_(std::move(members)),
       watch_duty_(self_.id, {}, loop.Now()),
@@ -166,7 +167,7 @@
     ids_by_address_[host.peer] = host.id;
   }
   RunActions(membership_.SetHostList(loop_.Now(), std::move(hosts)));
-  on_hosts_changed_();
+  callbacks_.on_hosts_changed();
 }
 
 std::vector<document_digest> peer_gossip::Digests() const {
@@ -240,9 +241,14 @@
 }
 
 void peer_gossip::SendTroubleReports() {
-  endpoint_troubles troubles{.reports =
-                                 placement_.UnhealthyEndpoints(loop_.Now())};
-  if (troubles.reports.empty()) {
+  endpoint_troubles troubles{
+      .reports = placement_.UnhealthyEndpoints(loop_.Now()), .departures = {}};
+  for (auto& [departure, reports_left] : departures_) {
+    troubles.departures.push_back(departure);
+    --reports_left;
+  }
+  std::erase_if(departures_, [](const auto& d) { return d.second == 0; });
+  if (troubles.reports.empty() && troubles.departures.empty()) {
     return;
   }
   if (troubles.reports.size() > kMaxReportedEndpoints) {
@@ -259,6 +265,10 @@
   }
 }
 
+void peer_gossip::ReportDeparture(const endpoint_departure& departure) {
+  departures_.emplace_back(departure, kDepartureReports);
+}
+
 void peer_gossip::SendFrame(const host_record& host, const std::string& frame) {
   telemetry_.meter->Increment(metric::kPeerBytes, {"control", "out"},
                               static_cast<double>(frame.size()));
@@ -284,6 +294,9 @@
   if (feed.fresh) {
     watch_duty_.OnStoreFeed(loop_.Now());
   }
+  for (const document_digest& digest : feed.documents) {
+    store_.ObserveEra(digest.in_force.era());
+  }
   for (const object_kind kind : kObjectKinds) {
     const auto digest = std::ranges::find(feed.documents, DocumentIdOf(kind),
                                           &document_digest::id);
@@ -372,7 +385,7 @@
                   {"before", std::string(action.before.has_value()
                                              ? ToString(*action.before)
                                              : "unknown")}}});
-  on_hosts_changed_();
+  callbacks_.on_hosts_changed();
 }
 
 void peer_gossip::RunAction(const membership::declared_dead& /*action*/) {
@@ -427,6 +440,9 @@
     for (const endpoint_health_report& report : troubles->reports) {
       placement_.OnPeerReport(loop_.Now(), report);
     }
+    for (const endpoint_departure& departure : troubles->departures) {
+      callbacks_.on_departure(id, departure);
+    }
     return;
   }
   if (const auto* feed = std::get_if<store_feed>(&message)) {
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -27,16 +27,23 @@
 /// HTTP. Used on the event loop's thread only.
 class peer_gossip {
  public:
-  /// Binds the UDP and the TCP port of `settings.peers`. `on_hosts_changed` is
-  /// called when the list of hosts or the state of one has changed. Fails if
-  /// membership rejects its settings or a port cannot be bound.
+  struct callbacks {
+    /// The list of hosts or the state of one has changed.
+    std::function<void()> on_hosts_changed;
+    /// A peer reported that an endpoint is leaving.
+    std::function<void(const host_id& from, const endpoint_departure&)>
+        on_departure;
+  };
+
+  /// Binds the UDP and the TCP port of `settings.peers`. Fails if membership
+  /// rejects its settings or a port cannot be bound.
   static result<std::unique_ptr<peer_gossip>> Create(
       event_loop& loop,
       const entry_settings& settings,
       store_sync& store,
       endpoint_selector& endpoint_placement,
       telemetry& process_telemetry,
-      std::function<void()> on_hosts_changed,
+      callbacks on_event,
       std::mt19937_64 random);
   ~peer_gossip();
 
@@ -49,6 +56,8 @@
   void ForwardStoreChanges(object_kind kind,
                            revision from,
                            const object_changes& changes);
+  /// Tells the other hosts that an endpoint is leaving.
+  void ReportDeparture(const endpoint_departure& departure);
   /// Announces that this host takes no new work.
   void AnnounceLeaving();
   /// Announces that this host stops now.
@@ -68,7 +77,7 @@
               store_sync& store,
               endpoint_selector& endpoint_placement,
               telemetry& process_telemetry,
-              std::function<void()> on_hosts_changed,
+              callbacks on_event,
               host_record self,
               membership members);
 
@@ -92,7 +101,8 @@
   /// Sends to all reachable hosts of the zone; in a small fleet, of all zones.
   void Broadcast(const peer_message& message);
   void SendFrame(const host_record& host, const std::string& frame);
-  /// Reports endpoints in trouble to the hosts named to callers.
+  /// Reports endpoints in trouble, and those that are leaving, to the hosts
+  /// named to callers.
   void SendTroubleReports();
   std::vector<document_digest> Digests() const;
   /// Fetches copies of the kinds of which a peer has a newer revision.
@@ -103,7 +113,7 @@
   store_sync& store_;
   endpoint_selector& placement_;
   telemetry& telemetry_;
-  std::function<void()> on_hosts_changed_;
+  callbacks callbacks_;
   host_record self_;
   std::vector<socket_address> seeds_;
   membership membership_;
@@ -113,6 +123,8 @@
   /// Whether this host watches the store; unset until the first heartbeat.
   std::optional<bool> watching_;
   int heartbeats_ = 0;
+  /// Endpoints known to be leaving, and how often to report each again.
+  std::vector<std::pair<endpoint_departure, int>> departures_;
   /// The revision in the latest feed of each kind, and the sender's address.
   std::map<object_kind, std::pair<revision, socket_address>> latest_feeds_;
   /// Since when a peer has been ahead of this host, or when a copy was last
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "platform/http_conversion.h"
+#include "trefoilmill/wire/log_messages.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -215,6 +216,9 @@
   }
   const endpoint_id endpoint = sent->second;
   active.attempts.erase(sent);
+  if (exchange.response.has_value()) {
+    ApplyNotice(active.id, endpoint, *exchange.response);
+  }
   attempt_outcome outcome =
       platform::ClassifyEndpointExchange(active.id, std::move(exchange));
   if (const auto* lost = std::get_if<reply_lost>(&outcome);
@@ -239,6 +243,33 @@
   EraseIfFinished(number);
 }
 
+void request_handler::ApplyNotice(const request_id& request,
+                                  const endpoint_id& endpoint,
+                                  const http_response& reply) {
+  const auto notice = platform::ParseEndpointNotice(reply);
+  const time_point now = loop_.Now();
+  const auto* entry = shared_state_.registry.Find(endpoint);
+  if (notice.leaving && entry != nullptr &&
+      shared_state_.registry.MarkLeaving(now, endpoint,
+                                         entry->record.started_ms)) {
+    telemetry_.log->Info(
+        log_message::kEndpointLeaving,
+        {.request = request, .endpoint = endpoint, .detail = "own reply"});
+    on_endpoint_leaving_(endpoint);
+  }
+  if (notice.pause.has_value()) {
+    shared_state_.selector.OnPauseRequested(now, endpoint, *notice.pause);
+    telemetry_.log->Info(log_message::kEndpointPaused,
+                         {.request = request,
+                          .endpoint = endpoint,
+                          .inputs = {{"pause_us", notice.pause->count()}}});
+  }
+  if (notice.malformed_pause) {
+    telemetry_.log->Warning("unusable Retry-After of an endpoint ignored",
+                            {.request = request, .endpoint = endpoint});
+  }
+}
+
 void request_handler::OnConnectionIdle(const endpoint_id& id) {
   const auto* entry = shared_state_.registry.Find(id);
   if (entry == nullptr) {
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -44,6 +45,12 @@
   /// may be idle.
   void OnConnectionIdle(const endpoint_id& id);
 
+  /// Sets what is called when an endpoint's reply was the first to say that it
+  /// is leaving.
+  void OnEndpointLeaving(std::function<void(const endpoint_id&)> callback) {
+    on_endpoint_leaving_ = std::move(callback);
+  }
+
   /// Number of requests that have no answer yet.
   std::size_t unanswered() const { return unanswered_; }
 
@@ -80,6 +87,10 @@
   void OnAttemptEnd(request_number number,
                     attempt_id attempt,
                     http_result exchange);
+  /// Acts on what an endpoint's reply says of the endpoint itself.
+  void ApplyNotice(const request_id& request,
+                   const endpoint_id& endpoint,
+                   const http_response& reply);
   void OnCallerDisconnected(request_number number);
   void AbortAttempts(request_number number);
   /// Erases a request that is answered and has no attempt in flight.
@@ -92,6 +103,7 @@
   connection_pools& pools_;
   telemetry& telemetry_;
   std::mt19937_64 random_;
+  std::function<void(const endpoint_id&)> on_endpoint_leaving_;
   std::shared_ptr<const route_table> route_table_;
   duration loop_delay_{};
   request_number last_number_ = 0;
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -1,6 +1,7 @@
 #include "trefoilmill_entry/store_sync.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include "platform/store_api.h"
@@ -23,6 +24,11 @@
 /// failures but by no more than kMaxAnnounceDelayFactor.
 constexpr duration kAnnounceRetryDelay = std::chrono::milliseconds(400);
 constexpr int kMaxAnnounceDelayFactor = 10;
+/// After the store was restored, a host checks its record at a random time up
+/// to this, by when a peer's copy of the hosts has usually arrived, and so that
+/// not all hosts write at once.
+constexpr duration kMinAnnounceCheckDelay = std::chrono::milliseconds(500);
+constexpr duration kMaxAnnounceCheckDelay = std::chrono::milliseconds(2500);
 /// HTTP status of the store's reply if the object exists already.
 constexpr int kHttpConflict = 409;
 
@@ -57,6 +63,8 @@
   object_kind kind;
   store_follower follower;
   timer wake_timer;
+  /// Number of the latest call; replies to earlier ones are void.
+  std::uint64_t call_number = 0;
 };
 
 store_sync::store_sync(event_loop& loop,
@@ -72,7 +80,8 @@
       client_(loop,
               local_ip,
               {.max_body_bytes = kMaxReplyBytes,
-               .dead_peer_timeout = kDeadPeerTimeout}) {
+               .dead_peer_timeout = kDeadPeerTimeout}),
+      random_(DeriveGenerator(random)) {
   for (const object_kind kind : kObjectKinds) {
     followed_kinds_.emplace(
         kind, std::make_unique<followed_kind>(followed_kind{
@@ -100,6 +109,7 @@
 }
 
 void store_sync::SetWatching(bool watching) {
+  watching_ = watching;
   for (auto& [kind, followed] : followed_kinds_) {
     const bool wanted = watching && kind != object_kind::kHosts;
     RunActions(*followed, followed->follower.SetWatching(wanted));
@@ -114,6 +124,7 @@
 void store_sync::ApplyPeerChanges(object_kind kind,
                                   revision from,
                                   object_changes changes) {
+  ObserveEra(changes.as_of.era());
   followed_kind& followed = *followed_kinds_.at(kind);
   if (followed.follower.as_of() < from) {
     telemetry_.log->Info(
@@ -129,10 +140,80 @@
 }
 
 void store_sync::ApplyPeerCopy(object_kind kind, store_follower::copy copy) {
+  ObserveEra(copy.as_of.era());
   followed_kind& followed = *followed_kinds_.at(kind);
   RunActions(followed, followed.follower.OnPeerCopy(std::move(copy)));
 }
 
+void store_sync::ObserveEra(store_era era) {
+  if (era_.has_value() && era <= *era_) {
+    return;
+  }
+  const std::optional<store_era> before = std::exchange(era_, era);
+  if (!before.has_value()) {
+    return;
+  }
+  telemetry_.log->Warning(
+      log_message::kStoreRestored,
+      {.at =
+           revision(era, Follower(object_kind::kConfiguration).as_of().value()),
+       .inputs = {{"era_before", static_cast<std::int64_t>(before->value())},
+                  {"watching", std::int64_t{watching_}}}});
+  for (auto& followed : std::views::values(followed_kinds_)) {
+    ++followed->call_number;
+    RunActions(*followed, followed->follower.OnStoreRestored(era));
+  }
+  if (watching_) {
+    RelistHosts();
+  }
+  std::uniform_int_distribution<duration::rep> delay(
+      kMinAnnounceCheckDelay.count(), kMaxAnnounceCheckDelay.count());
+  announce_check_timer_ = loop_.RunAfter(duration(delay(random_)),
+                                         [this] { RestoreAnnouncement(); });
+}
+
+void store_sync::RestoreAnnouncement() {
+  const store_follower& hosts = Follower(announcement_.kind);
+  const auto found = hosts.objects().find(announcement_.name);
+  const bool present = hosts.as_of().era() == era_ &&
+                       found != hosts.objects().end() &&
+                       found->second.content == announcement_.content;
+  telemetry_.log->Info(
+      present ? "this host's record survived the restoration"
+              : "writing this host's record again",
+      {.document = document_id(announcement_.name), .at = hosts.as_of()});
+  if (!present) {
+    SendAnnouncement(/*create=*/true, 0);
+  }
+}
+
+std::optional<http_response> store_sync::TakeReply(followed_kind& followed,
+                                                   std::uint64_t call_number,
+                                                   std::string_view call,
+                                                   http_result exchange) {
+  RecordReachability(exchange.response.has_value(), call);
+  store_era stated;
+  if (exchange.response.has_value()) {
+    stated = platform::ParseStoreEra(*exchange.response).value_or(store_era());
+    ObserveEra(stated);
+  }
+  if (call_number != followed.call_number) {
+    return std::nullopt;
+  }
+  if (!exchange.response.has_value()) {
+    OnCallFailed(followed, {});
+    return std::nullopt;
+  }
+  if (stated < era_) {
+    failure error;
+    error.detail =
+        "the reply is of an earlier era than " + std::to_string(era_->value());
+    OnCallFailed(followed, error);
+    return std::nullopt;
+  }
+  return std::move(exchange.response);
+}
+
 void store_sync::RunActions(followed_kind& followed,
                             const store_follower::actions& actions) {
   for (const auto& action : actions) {
@@ -142,16 +223,17 @@
 
 void store_sync::RunAction(followed_kind& followed,
                            const store_follower::list_page& action) {
+  const std::uint64_t number = ++followed.call_number;
   client_.Send(store_,
                platform::MakeListRequest(followed.kind, action.after,
                                          action.may_be_stale),
-               kCallTimeout, [this, &followed](http_result exchange) {
-                 RecordReachability(exchange.response.has_value(), "list");
-                 if (!exchange.response.has_value()) {
-                   OnCallFailed(followed, {});
+               kCallTimeout, [this, &followed, number](http_result exchange) {
+                 const auto response =
+                     TakeReply(followed, number, "list", std::move(exchange));
+                 if (!response.has_value()) {
                    return;
                  }
-                 auto page = platform::ParseListResponse(*exchange.response);
+                 auto page = platform::ParseListResponse(*response);
                  if (!page.has_value()) {
                    OnCallFailed(followed, page.error());
                    return;
@@ -164,16 +246,18 @@
 
 void store_sync::RunAction(followed_kind& followed,
                            const store_follower::watch& action) {
+  const std::uint64_t number = ++followed.call_number;
   client_.Send(
       store_,
       platform::MakeWatchRequest(followed.kind, action.since, action.wait),
-      action.wait + kWatchReplyMargin, [this, &followed](http_result exchange) {
-        RecordReachability(exchange.response.has_value(), "watch");
-        if (!exchange.response.has_value()) {
-          OnCallFailed(followed, {});
+      action.wait + kWatchReplyMargin,
+      [this, &followed, number](http_result exchange) {
+        const auto response =
+            TakeReply(followed, number, "watch", std::move(exchange));
+        if (!response.has_value()) {
           return;
         }
-        auto changes = platform::ParseWatchResponse(*exchange.response);
+        auto changes = platform::ParseWatchResponse(*response);
         if (!changes.has_value()) {
           OnCallFailed(followed, changes.error());
           return;
@@ -262,8 +346,13 @@
                                          announcement_.content);
   client_.Send(store_, request, kCallTimeout, [=, this](http_result exchange) {
     RecordReachability(exchange.response.has_value(), "write");
-    const int status =
-        exchange.response.has_value() ? exchange.response->status : 0;
+    int status = 0;
+    if (exchange.response.has_value()) {
+      status = exchange.response->status;
+      if (const auto era = platform::ParseStoreEra(*exchange.response)) {
+        ObserveEra(*era);
+      }
+    }
     if (status / 100 == 2) {
       return;
     }
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -4,11 +4,14 @@
 #ifndef TREFOILMILL_ENTRY_STORE_SYNC_H_
 #define TREFOILMILL_ENTRY_STORE_SYNC_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "trefoilmill/ids.h"
 #include "trefoilmill/net/event_loop.h"
@@ -59,6 +62,11 @@
                         object_changes changes);
   /// Applies a peer's copy if it is newer than the local one.
   void ApplyPeerCopy(object_kind kind, store_follower::copy copy);
+  /// The store, or a peer, is in `era`. A later one than before means that the
+  /// store was restored from an older copy: calls in progress are void, hosts
+  /// that watch the store list it again, and this host's record is written
+  /// again if the store has lost it.
+  void ObserveEra(store_era era);
 
   /// The local copy of a kind.
   const store_follower& Follower(object_kind kind) const;
@@ -79,7 +87,16 @@
                  const store_follower::content_replaced& action);
   void RunAction(followed_kind& followed,
                  const store_follower::object_changed& action);
+  /// Handles what all replies to a follower's call have in common. Returns the
+  /// response if the follower still waits for it; otherwise the reply is void
+  /// or the failure has been handled.
+  std::optional<http_response> TakeReply(followed_kind& followed,
+                                         std::uint64_t call_number,
+                                         std::string_view call,
+                                         http_result exchange);
   void OnWatchEnded(followed_kind& followed, watch_result result);
+  /// Writes the announced object again unless the store has it in this era.
+  void RestoreAnnouncement();
   void OnCallFailed(followed_kind& followed, const failure& error);
   /// Creates or replaces the announced object. `failures` counts the failed
   /// attempts so far.
@@ -93,6 +110,10 @@
   callbacks callbacks_;
   http_client client_;
   std::map<object_kind, std::unique_ptr<followed_kind>> followed_kinds_;
+  std::mt19937_64 random_;
+  bool watching_ = false;
+  /// The store's era; unset until the store or a peer stated one.
+  std::optional<store_era> era_;
   bool reachable_ = false;
   /// Whether any call has ended, so that `reachable_` is known.
   bool reachability_known_ = false;
@@ -104,6 +125,7 @@
   };
   announcement announcement_;
   timer announce_retry_timer_;
+  timer announce_check_timer_;
 };
 
 }  // namespace trefoilmill::entry
