Admission by expected latency; work that can be in time goes first

Cause: when most replicas of some shards were slow, every request was let in. Healthy replicas got more than they could run, hosts queued sub-requests in order of arrival, so that all were late; the estimate of a slow endpoint was capped at four times the usual latency, so that work spilled over to endpoints from which no reply could come in time.

Change: deadline_admission refuses at once a fraction of the requests that grows with the latency they have to expect: that of the slowest shard that their coverage needs, waiting for a connection included. Endpoints from which no reply is to be expected in time are used only if there is no other, free or not. What waits for a connection and can still be in time goes first (capacity_queue).

--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -38,7 +38,7 @@
 /// Report on an unhealthy endpoint that one host sends to the others.
 struct endpoint_health_report {
   endpoint_id endpoint;
-  /// Latency above the expected one, in thousandths of the expected latency.
+  /// Latency relative to the expected one, in thousandths of a power of two.
   std::int32_t slowdown_milli = 0;
   /// Fraction of sends that failed, in thousandths.
   std::int32_t failure_rate_milli = 0;
@@ -100,14 +100,25 @@
 
   /// Selects one of the service's endpoints that are not in `excluded`.
   /// `expected` is the expected latency of the sub-request. Cold endpoints are
-  /// used only if no warm one is available.
+  /// used only if no warm one is available, and endpoints from which no reply
+  /// is to be expected within `time_left` only if there is no other, free or
+  /// not.
   selection Select(time_point now,
                    const endpoint_registry& registry,
                    const service_id& service,
                    const std::vector<endpoint_id>& excluded,
                    duration expected,
+                   duration time_left,
                    purpose send_purpose);
 
+  /// Latency to expect of a sub-request to the service's best endpoint, of
+  /// which `waiting` others wait for a connection; nullopt if none is usable.
+  std::optional<duration> PredictLatency(time_point now,
+                                         const endpoint_registry& registry,
+                                         const service_id& service,
+                                         duration expected,
+                                         std::size_t waiting) const;
+
   /// A sub-request is late enough to be hedged. Counting it as slow now detects
   /// a slow endpoint before its reply arrives.
   void OnSendLate(time_point now,
@@ -146,8 +157,10 @@
                 double weight,
                 duration half_life);
   };
-  /// Statistics of one endpoint. A slowdown is the latency above the expected
-  /// one, as a multiple of the expected latency.
+  /// Statistics of one endpoint. A slowdown is the latency relative to the
+  /// expected one, as a power of two: averaged like this, a single pause
+  /// changes little, whereas an endpoint that stays slow shows its real
+  /// latency.
   struct endpoint_stats {
     int idle_connections = 0;
     /// Start time of each send in flight, oldest first.
@@ -165,11 +178,31 @@
     time_point paused_until;
   };
 
+  /// Endpoints of a group are used only if there is none of a group before it.
+  enum class candidate_group { kWarm, kCold, kLastResort };
+  /// An endpoint that a sub-request may be sent to.
+  struct candidate {
+    endpoint_id id;
+    /// Weight in the random selection.
+    double weight = 0;
+    /// Whether a reply is to be expected in time.
+    bool timely = true;
+    candidate_group group = candidate_group::kWarm;
+  };
+
+  static candidate_group GroupOf(time_point now,
+                                 const endpoint_registry::entry& entry);
+  /// Draws one of `candidates`, which must not be empty.
+  endpoint_id Draw(std::vector<candidate> candidates);
   /// Whether the endpoint may get requests at all.
   bool IsUsable(time_point now, const endpoint_registry::entry& entry) const;
   /// Whether only the pause that the endpoint asked for prevents its use.
   bool IsOnlyPaused(time_point now,
                     const endpoint_registry::entry& entry) const;
+  /// Latency to expect, relative to the expected one of a healthy endpoint.
+  static double LatencyRatio(time_point now,
+                             const endpoint_stats& stats,
+                             duration expected);
   /// Relative cost of one more request to the endpoint: about 1 for a healthy,
   /// idle endpoint in this host's zone.
   double CostOf(time_point now,
--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <unordered_map>
 
+#include "trefoilmill/process/capacity_queue.h"
+#include "trefoilmill/process/deadline_admission.h"
 #include "trefoilmill/process/endpoint_registry.h"
 #include "trefoilmill/process/endpoint_selector.h"
 #include "trefoilmill/process/extra_send_budget.h"
@@ -24,6 +26,9 @@
   /// amount of work differs between routes but hardly between the shards of
   /// one.
   std::unordered_map<route_id, latency_histogram> latencies;
+  deadline_admission admission;
+  /// Sub-requests that wait for a free connection.
+  capacity_queue waiting;
   /// The most recently assigned attempt id.
   std::uint64_t last_attempt_id = 0;
 };
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -96,6 +96,8 @@
   struct await_capacity {
     std::size_t shard = 0;
     service_id service;
+    /// Latest time to answer within the objective.
+    time_point objective_deadline;
   };
   /// Answer the caller. No further action follows; outcomes of attempts in
   /// flight must still be reported.
@@ -187,6 +189,10 @@
     bool pending() const { return !reply.has_value() && !failed; }
   };
 
+  /// Returns when the caller may return if the request has to expect a latency
+  /// beyond its objective and is not let in.
+  std::optional<duration> RefuseUntil(time_point now,
+                                      shared_request_state& shared) const;
   /// Selects an endpoint for a shard and sends to it. Waits for a connection if
   /// all are in use; fails the shard if no endpoint is usable.
   void Dispatch(time_point now,
@@ -237,6 +243,9 @@
   static time_point HedgeTime(const shard& s, duration delay);
   /// Whether the coverage would be too low if one more shard failed.
   bool NeedsAllRemainingShards() const;
+  /// Time until the objective is missed or, once it is, until the answer is
+  /// due.
+  duration TimeLeft(time_point now) const;
   /// When a request is refused that got no free connection.
   time_point CapacityDeadline() const;
   /// Fraction of shards that replied, 0..1.
--- /dev/null
+++ b/src/libtrefoilmill/process/deadline_admission.cc
@@ -0,0 +1,66 @@
+#include "trefoilmill/process/deadline_admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace trefoilmill {
+namespace {
+
+/// All requests are let in whose expected latency is at most this fraction of
+/// the time left: an expected latency is a mean, and of many shards some take
+/// much longer.
+constexpr double kSafeFraction = 0.4;
+/// Exponent of the fraction of requests that are let in beyond that.
+constexpr double kAdmissionExponent = 3;
+/// The least fraction let in, from whose latencies hosts learn that the
+/// overload has ended.
+constexpr double kMinAdmitted = 0.05;
+/// Bounds of the time after which a refused caller may return. It is drawn at
+/// random between them, so that callers do not return together.
+constexpr duration kMinReturn = std::chrono::milliseconds(100);
+constexpr duration kMaxReturn = std::chrono::milliseconds(500);
+
+}  // namespace
+
+std::optional<duration> deadline_admission::LatencyForCoverage(
+    const prospect& expected) {
+  std::vector<duration> usable;
+  for (const auto& latency : expected.shard_latencies) {
+    if (latency.has_value()) {
+      usable.push_back(*latency);
+    }
+  }
+  const auto shards = static_cast<double>(expected.shard_latencies.size());
+  // Rounding must not require a shard more than the coverage does.
+  constexpr double kRounding = 1e-9;
+  const auto needed = static_cast<std::size_t>(
+      std::max(1.0, std::ceil(expected.min_coverage * shards - kRounding)));
+  if (usable.size() < needed) {
+    return std::nullopt;
+  }
+  const auto last = usable.begin() + static_cast<std::ptrdiff_t>(needed - 1);
+  std::ranges::nth_element(usable, last);
+  return *last;
+}
+
+std::optional<duration> deadline_admission::RefuseUntil(
+    const prospect& expected) {
+  const auto latency = LatencyForCoverage(expected);
+  if (!latency.has_value() || expected.priority == 0) {
+    return std::nullopt;
+  }
+  const double safe =
+      kSafeFraction * static_cast<double>(expected.time_left.count());
+  const double ratio =
+      safe / std::max(1.0, static_cast<double>(latency->count()));
+  const double admitted = std::clamp(
+      std::pow(std::max(ratio, 0.0), kAdmissionExponent), kMinAdmitted, 1.0);
+  if (std::uniform_real_distribution<double>(0, 1)(random_) < admitted) {
+    return std::nullopt;
+  }
+  std::uniform_int_distribution<duration::rep> delay(kMinReturn.count(),
+                                                     kMaxReturn.count());
+  return duration(delay(random_));
+}
+
+}  // namespace trefoilmill
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -7,9 +7,10 @@
 namespace trefoilmill {
 namespace {
 
-/// Upper limit of one sample of latency relative to the expected one, so that a
-/// single pause does not make an endpoint count as a straggler.
-constexpr double kMaxLatencyRatio = 4;
+/// Upper limit of one sample of latency relative to the expected one.
+constexpr double kMaxLatencyRatio = 32;
+/// Lower limit of one sample.
+constexpr double kMinLatencyRatio = 0.25;
 /// Weight of a sample that increases the slowdown.
 constexpr double kSlowdownWeight = 0.2;
 /// Weight of a sample that reduces the slowdown. It is higher because a reply
@@ -20,7 +21,7 @@
 constexpr duration kSlowdownHalfLife = std::chrono::milliseconds(2200);
 /// Slowdown and failure rate from which on an endpoint is reported to the other
 /// hosts.
-constexpr double kMinReportedSlowdown = 1;
+constexpr double kMinReportedSlowdown = 0.7;
 constexpr double kMinReportedFailureRate = 0.3;
 /// Reports from other hosts remain effective for about the interval between two
 /// of them.
@@ -58,10 +59,21 @@
 /// A pause is prolonged by up to this fraction of its length.
 constexpr double kMaxPauseExtension = 0.1;
 
-struct candidate {
-  endpoint_id id;
-  double weight = 0;
-};
+duration Scaled(duration length, double factor) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, duration::period>(length) * factor);
+}
+
+double RelativeLatency(duration latency, duration expected) {
+  return static_cast<double>(latency.count()) /
+         std::max<double>(1, static_cast<double>(expected.count()));
+}
+
+/// A sample of the slowdown, see endpoint_selector::endpoint_stats.
+double SlowdownSample(double latency_ratio) {
+  return std::log2(
+      std::clamp(latency_ratio, kMinLatencyRatio, kMaxLatencyRatio));
+}
 
 }  // namespace
 
@@ -137,30 +149,68 @@
          IsUsable(found->second.paused_until, entry);
 }
 
+endpoint_selector::candidate_group endpoint_selector::GroupOf(
+    time_point now,
+    const endpoint_registry::entry& entry) {
+  if (entry.record.draining) {
+    return candidate_group::kLastResort;
+  }
+  const bool is_cold = entry.cold_until.has_value() && *entry.cold_until > now;
+  return is_cold ? candidate_group::kCold : candidate_group::kWarm;
+}
+
+double endpoint_selector::LatencyRatio(time_point now,
+                                       const endpoint_stats& stats,
+                                       duration expected) {
+  const double ratio =
+      std::exp2(std::max(stats.slowdown.Value(now, kSlowdownHalfLife),
+                         stats.reported_slowdown.Value(now, kReportHalfLife)));
+  if (stats.in_flight.empty()) {
+    return ratio;
+  }
+  const double waited_ratio =
+      RelativeLatency(now - stats.in_flight.begin()->second, expected);
+  return waited_ratio > kPauseRatio ? std::max(ratio, waited_ratio) : ratio;
+}
+
+std::optional<duration> endpoint_selector::PredictLatency(
+    time_point now,
+    const endpoint_registry& registry,
+    const service_id& service,
+    duration expected,
+    std::size_t waiting) const {
+  std::optional<double> best;
+  for (const endpoint_id& id : registry.EndpointsOf(service)) {
+    if (!IsUsable(now, *registry.Find(id))) {
+      continue;
+    }
+    const endpoint_stats& stats = stats_.at(id);
+    double ratio = std::max(1.0, LatencyRatio(now, stats, expected));
+    if (stats.idle_connections <= 0 && !stats.in_flight.empty()) {
+      // Each connection becomes free once per latency.
+      ratio *= 1 + static_cast<double>(waiting + 1) /
+                       static_cast<double>(stats.in_flight.size());
+    }
+    best = std::min(best.value_or(ratio), ratio);
+  }
+  if (!best.has_value()) {
+    return std::nullopt;
+  }
+  return Scaled(expected, *best);
+}
+
 double endpoint_selector::CostOf(time_point now,
                                  const endpoint_registry::entry& entry,
                                  const endpoint_stats& stats,
                                  duration expected) const {
-  double latency_ratio =
-      1 + std::max(stats.slowdown.Value(now, kSlowdownHalfLife),
-                   stats.reported_slowdown.Value(now, kReportHalfLife));
+  const double latency_ratio = LatencyRatio(now, stats, expected);
   const double failure_rate =
       std::max(stats.failure_rate.Value(now, kFailureHalfLife),
                stats.reported_failure_rate.Value(now, kReportHalfLife));
-  const double expected_us =
-      std::max<double>(1, static_cast<double>(expected.count()));
-  if (!stats.in_flight.empty()) {
-    const duration waited = now - stats.in_flight.begin()->second;
-    const double waited_ratio =
-        static_cast<double>(waited.count()) / expected_us;
-    latency_ratio = waited_ratio > kPauseRatio
-                        ? std::max(latency_ratio, waited_ratio)
-                        : latency_ratio;
-  }
   const double load = static_cast<double>(stats.in_flight.size()) /
                       std::max(1, entry.record.slots);
-  double cost = std::max(0.2, latency_ratio) * (1 + kInFlightCost * load) *
-                (1 + kFailureCost * failure_rate);
+  double cost = std::max(kMinLatencyRatio, latency_ratio) *
+                (1 + kInFlightCost * load) * (1 + kFailureCost * failure_rate);
   if (entry.record.zone != zone_) {
     cost *= kOtherZoneFactor;
   }
@@ -176,12 +226,12 @@
     const service_id& service,
     const std::vector<endpoint_id>& excluded,
     duration expected,
+    duration time_left,
     purpose send_purpose) {
   bool usable = false;
+  bool any_timely = false;
   std::optional<time_point> usable_at;
-  std::vector<candidate> warm;
-  std::vector<candidate> cold;
-  std::vector<candidate> last_resort;
+  std::vector<candidate> candidates;
   for (const endpoint_id& id : registry.EndpointsOf(service)) {
     const endpoint_registry::entry& entry = *registry.Find(id);
     if (std::ranges::find(excluded, id) != excluded.end()) {
@@ -196,30 +246,42 @@
     }
     usable = true;
     const endpoint_stats& stats = stats_.at(id);
-    if (stats.idle_connections <= 0) {
-      continue;
-    }
+    const bool timely =
+        Scaled(expected, LatencyRatio(now, stats, expected)) <= time_left;
+    any_timely = any_timely || timely;
     const double cost = CostOf(now, entry, stats, expected);
-    if (send_purpose == purpose::kHedge && cost > kMaxHedgeCost) {
+    const bool too_costly =
+        send_purpose == purpose::kHedge && cost > kMaxHedgeCost;
+    if (stats.idle_connections <= 0 || too_costly) {
       continue;
     }
-    const bool is_cold =
-        entry.cold_until.has_value() && *entry.cold_until > now;
-    auto& group = entry.record.draining ? last_resort : is_cold ? cold : warm;
-    group.push_back({.id = id, .weight = std::pow(cost, -kCostExponent)});
+    candidates.push_back({.id = id,
+                          .weight = std::pow(cost, -kCostExponent),
+                          .timely = timely,
+                          .group = GroupOf(now, entry)});
+  }
+  if (any_timely) {
+    std::erase_if(candidates, [](const candidate& c) { return !c.timely; });
   }
-  const auto& serving = warm.empty() ? cold : warm;
-  const auto& candidates = serving.empty() ? last_resort : serving;
   if (candidates.empty()) {
     return usable ? selection(no_capacity{})
                   : selection(no_usable_endpoint{.usable_at = usable_at});
   }
+  return selected{Draw(std::move(candidates))};
+}
+
+// Only endpoints of the best group are drawn.
+endpoint_id endpoint_selector::Draw(std::vector<candidate> candidates) {
+  const auto best =
+      std::ranges::min_element(candidates, {}, &candidate::group)->group;
+  std::erase_if(candidates,
+                [best](const candidate& c) { return c.group != best; });
   std::vector<double> weights;
   std::ranges::transform(candidates, std::back_inserter(weights),
                          &candidate::weight);
   std::discrete_distribution<std::size_t> distribution(weights.begin(),
                                                        weights.end());
-  return selected{candidates[distribution(rng_)].id};
+  return candidates[distribution(rng_)].id;
 }
 
 void endpoint_selector::OnSend(time_point now,
@@ -249,25 +311,20 @@
   if (sent == stats.in_flight.end()) {
     return;
   }
-  const auto latency = static_cast<double>((now - sent->second).count());
+  const double latency_ratio = RelativeLatency(now - sent->second, expected);
+  const double slowdown = SlowdownSample(latency_ratio);
   stats.in_flight.erase(sent);
-  const double expected_us =
-      std::max<double>(1, static_cast<double>(expected.count()));
-  const double latency_ratio =
-      std::min(kMaxLatencyRatio, latency / expected_us);
   if (outcome == send_outcome::kSucceeded) {
     const double before = stats.slowdown.Value(now, kSlowdownHalfLife);
-    const bool is_recovering = latency_ratio - 1 < before;
-    stats.slowdown.Update(now, latency_ratio - 1,
-                          is_recovering ? kRecoveryWeight : kSlowdownWeight,
+    stats.slowdown.Update(now, slowdown,
+                          slowdown < before ? kRecoveryWeight : kSlowdownWeight,
                           kSlowdownHalfLife);
     stats.failure_rate.Update(now, 0, kFailureWeight, kFailureHalfLife);
     return;
   }
   stats.failure_rate.Update(now, 1, kFailureWeight, kFailureHalfLife);
   if (outcome == send_outcome::kTimedOut && latency_ratio > 1) {
-    stats.slowdown.Update(now, latency_ratio - 1, kSlowdownWeight,
-                          kSlowdownHalfLife);
+    stats.slowdown.Update(now, slowdown, kSlowdownWeight, kSlowdownHalfLife);
   }
 }
 
@@ -280,12 +337,9 @@
   if (sent == stats.in_flight.end()) {
     return;
   }
-  const double expected_us =
-      std::max<double>(1, static_cast<double>(expected.count()));
-  const double latency_ratio =
-      static_cast<double>((now - sent->second).count()) / expected_us;
-  stats.slowdown.Update(now, std::min(kMaxLatencyRatio, latency_ratio) - 1,
-                        kSlowdownWeight, kSlowdownHalfLife);
+  const double latency_ratio = RelativeLatency(now - sent->second, expected);
+  stats.slowdown.Update(now, SlowdownSample(latency_ratio), kSlowdownWeight,
+                        kSlowdownHalfLife);
 }
 
 void endpoint_selector::OnPeerReport(time_point now,
--- a/src/libtrefoilmill/process/endpoint_selector_test.cc
+++ b/src/libtrefoilmill/process/endpoint_selector_test.cc
@@ -14,6 +14,7 @@
 const service_id test_service("unit-sweep-1");
 const zone_id own_zone("erie");
 constexpr duration kExpectedLatency = milliseconds(10);
+constexpr duration kTimeLeft = seconds(1);
 
 struct fixture {
   time_point now{seconds(1)};
@@ -61,7 +62,7 @@
     for (int call = 0; call < 1000; ++call) {
       const auto selection =
           selector.Select(now, registry, test_service, excluded,
-                          kExpectedLatency, send_purpose);
+                          kExpectedLatency, kTimeLeft, send_purpose);
       if (const auto* selected =
               std::get_if<endpoint_selector::selected>(&selection)) {
         ++counts[selected->endpoint.value()];
@@ -134,11 +135,11 @@
   }
   auto selection =
       selector.Select(now, registry, test_service, {}, kExpectedLatency,
-                      endpoint_selector::purpose::kFirst);
+                      kTimeLeft, endpoint_selector::purpose::kFirst);
   BOOST_TEST(std::holds_alternative<endpoint_selector::no_capacity>(selection));
   selector.SetZonesOutOfService({own_zone});
   selection = selector.Select(now, registry, test_service, {}, kExpectedLatency,
-                              endpoint_selector::purpose::kFirst);
+                              kTimeLeft, endpoint_selector::purpose::kFirst);
   BOOST_TEST(
       std::holds_alternative<endpoint_selector::no_usable_endpoint>(selection));
 }
@@ -234,7 +235,7 @@
   }
   const auto selection =
       selector.Select(now, registry, test_service, {}, kExpectedLatency,
-                      endpoint_selector::purpose::kFirst);
+                      kTimeLeft, endpoint_selector::purpose::kFirst);
   const auto* none =
       std::get_if<endpoint_selector::no_usable_endpoint>(&selection);
   BOOST_TEST_REQUIRE(none != nullptr);
@@ -255,7 +256,7 @@
     }
     const auto selection =
         f.selector.Select(f.now, f.registry, test_service, {}, kExpectedLatency,
-                          endpoint_selector::purpose::kFirst);
+                          kTimeLeft, endpoint_selector::purpose::kFirst);
     returns.insert(std::get<endpoint_selector::no_usable_endpoint>(selection)
                        .usable_at.value());
   }
--- /dev/null
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -0,0 +1,425 @@
+/// Simulation of hosts, endpoints and callers around the deciders of a request,
+/// on a clock of its own: endpoints with slots, a queue, pauses and slowness;
+/// hosts with connections of their own; callers that return once after a
+/// refusal. Used to replay load patterns.
+#ifndef TREFOILMILL_REQUEST_ENDPOINT_SIMULATION_TEST_H_
+#define TREFOILMILL_REQUEST_ENDPOINT_SIMULATION_TEST_H_
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "trefoilmill/request/request_run.h"
+
+namespace trefoilmill::simulation {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What is simulated.
+struct scenario {
+  int hosts = 4;
+  int shards = 20;
+  int replicas = 3;
+  int slots = 3;
+  /// Requests that an endpoint queues; it refuses more.
+  std::size_t queue = 18;
+  int connections_per_host = 4;
+  duration work = milliseconds(28);
+  duration objective = milliseconds(200);
+  duration timeout = milliseconds(2000);
+  double min_coverage = 0.95;
+  duration pause = milliseconds(250);
+  duration pause_interval = seconds(6);
+  /// Requests per second of all callers together.
+  double rate = 60;
+  duration length = seconds(10);
+  unsigned seed = 1;
+  /// How many times longer an endpoint works at a time.
+  std::function<double(int shard, int replica, time_point now)> slowness =
+      [](int, int, time_point) { return 1.0; };
+  /// Factor of the rate at a time.
+  std::function<double(time_point now)> load = [](time_point) { return 1.0; };
+};
+
+/// What callers got, by the second in which they first asked.
+struct second_result {
+  int asked = 0;
+  /// Answered within the objective from the caller's first attempt, or from the
+  /// attempt that was let in after a refusal.
+  int prompt = 0;
+  int prompt_after_refusal = 0;
+  /// Sum of the squares of the coverage of prompt answers.
+  double coverage_squares = 0;
+  int late = 0;
+  int refused = 0;
+  int failed = 0;
+};
+
+class world {
+ public:
+  explicit world(scenario played)
+      : scenario_(std::move(played)), random_(scenario_.seed) {
+    BuildTable();
+    for (int shard = 0; shard < scenario_.shards; ++shard) {
+      for (int replica = 0; replica < scenario_.replicas; ++replica) {
+        endpoints_[Endpoint(shard, replica)] = {
+            .shard = shard, .replica = replica, .phase = Uniform()};
+      }
+    }
+    for (int number = 0; number < scenario_.hosts; ++number) {
+      hosts_.push_back(std::make_unique<host>(host{.shared = SharedState()}));
+      for (const auto& [id, endpoint] : endpoints_) {
+        hosts_.back()->shared.registry.Put(
+            now_, {.id = id,
+                   .service = Service(endpoint.shard),
+                   .zone = zone_id("perth"),
+                   .address = {.ip = "10.0.0.1", .port = 80},
+                   .slots = scenario_.slots});
+        hosts_.back()->shared.selector.SetIdleConnections(
+            id, scenario_.connections_per_host);
+      }
+    }
+  }
+
+  /// Plays the scenario; the result has an element for each second.
+  std::vector<second_result> Play() {
+    results_.resize(static_cast<std::size_t>(
+        std::chrono::duration_cast<seconds>(scenario_.length).count()));
+    const time_point end = start_ + scenario_.length;
+    ScheduleArrival(end);
+    ScheduleReports(end);
+    while (!events_.empty()) {
+      const event next = events_.top();
+      events_.pop();
+      now_ = next.at;
+      next.run();
+    }
+    return results_;
+  }
+
+ private:
+  struct event {
+    time_point at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator<(const event& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+  /// A sub-request at an endpoint.
+  struct job {
+    std::size_t host;
+    std::uint64_t request;
+    attempt_id attempt;
+    time_point deadline;
+  };
+  struct endpoint_model {
+    int shard = 0;
+    int replica = 0;
+    double phase = 0;
+    int running = 0;
+    std::deque<job> queue = {};
+  };
+  struct active_request {
+    std::unique_ptr<request_run> run;
+    std::map<attempt_id, endpoint_id> attempts = {};
+    std::size_t second = 0;
+    time_point first_asked;
+    time_point asked;
+    bool returned = false;
+    std::uint64_t wake = 0;
+  };
+  struct host {
+    shared_request_state shared;
+    std::map<endpoint_id, int> busy = {};
+    std::map<std::uint64_t, active_request> requests = {};
+  };
+
+  static service_id Service(int shard) {
+    return service_id("s" + std::to_string(shard));
+  }
+  static endpoint_id Endpoint(int shard, int replica) {
+    return endpoint_id("s" + std::to_string(shard) + "-" +
+                       std::to_string(replica));
+  }
+  double Uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+  }
+  shared_request_state SharedState() {
+    shared_request_state shared{
+        .registry = endpoint_registry(milliseconds(2200), seconds(6)),
+        .selector =
+            endpoint_selector(zone_id("perth"), std::mt19937_64(random_())),
+        .extra_sends = extra_send_budget({.ratio = 0.2, .slack = 430}),
+        .latencies = {},
+        .admission = deadline_admission(std::mt19937_64(random_())),
+        .waiting = {}};
+    shared.extra_sends.SetHosts(
+        {.advertised = static_cast<std::size_t>(scenario_.hosts)});
+    return shared;
+  }
+  void BuildTable() {
+    route sweep;
+    sweep.id = route_id("sweep");
+    sweep.host = "h";
+    sweep.prefix = "/sweep/";
+    sweep.retry = retry_rule::kIdempotent;
+    sweep.timeout = scenario_.timeout;
+    sweep.objective = scenario_.objective;
+    sweep.priority = 1;
+    sweep.max_endpoints = 3;
+    gather_target target{
+        .shards = {}, .top_k = 5, .min_coverage = scenario_.min_coverage};
+    for (int shard = 0; shard < scenario_.shards; ++shard) {
+      target.shards.push_back(Service(shard));
+    }
+    sweep.target = std::move(target);
+    routing_config config;
+    config.routes = {sweep};
+    table_ = route_table::Create(std::move(config)).value();
+  }
+
+  void At(time_point at, std::function<void()> run) {
+    events_.push({.at = at, .order = ++last_order_, .run = std::move(run)});
+  }
+  void ScheduleArrival(time_point end) {
+    const double rate = scenario_.rate * scenario_.load(now_);
+    const std::chrono::duration<double> gap(-std::log(1 - Uniform()) / rate);
+    const time_point at = now_ + std::chrono::duration_cast<duration>(gap);
+    if (at >= end) {
+      return;
+    }
+    At(at, [this, end] {
+      const auto second =
+          static_cast<std::size_t>((now_ - start_) / seconds(1));
+      ++results_[second].asked;
+      Ask(second, now_, /*returned=*/false);
+      ScheduleArrival(end);
+    });
+  }
+  /// Hosts tell each other which endpoints they find slow.
+  void ScheduleReports(time_point end) {
+    At(now_ + milliseconds(250), [this, end] {
+      for (const auto& from : hosts_) {
+        for (const auto& report :
+             from->shared.selector.UnhealthyEndpoints(now_)) {
+          for (const auto& to : hosts_) {
+            if (to != from) {
+              to->shared.selector.OnPeerReport(now_, report);
+            }
+          }
+        }
+      }
+      if (now_ < end) {
+        ScheduleReports(end);
+      }
+    });
+  }
+
+  void Ask(std::size_t second, time_point first_asked, bool returned) {
+    const std::size_t number = random_() % hosts_.size();
+    host& asked = *hosts_[number];
+    const std::uint64_t id = ++last_request_;
+    const route* r = table_->Match("h", "/sweep/1");
+    active_request& active = asked.requests[id];
+    active = {
+        .run = std::make_unique<request_run>(table_, *r, ServicesOf(*r), now_,
+                                             first_asked + scenario_.timeout),
+        .second = second,
+        .first_asked = first_asked,
+        .asked = now_,
+        .returned = returned};
+    Apply(number, id, active.run->Start(now_, asked.shared));
+  }
+
+  void Apply(std::size_t number,
+             std::uint64_t id,
+             request_run::actions actions) {
+    for (auto& action : actions) {
+      std::visit([&](auto& a) { ApplyOne(number, id, a); }, action);
+    }
+  }
+  void ApplyOne(std::size_t number,
+                std::uint64_t id,
+                const request_run::send& action) {
+    host& sender = *hosts_[number];
+    ++sender.busy[action.endpoint];
+    ReportIdle(sender, action.endpoint);
+    sender.requests[id].attempts[action.attempt] = action.endpoint;
+    const job sent{.host = number,
+                   .request = id,
+                   .attempt = action.attempt,
+                   .deadline = action.deadline};
+    At(now_ + kOneWay,
+       [this, sent, to = action.endpoint] { Arrive(to, sent); });
+  }
+  void ApplyOne(std::size_t number,
+                std::uint64_t id,
+                const request_run::await_capacity& action) {
+    hosts_[number]->shared.waiting.Push(
+        action.service, {.request = request_number(id),
+                         .shard = action.shard,
+                         .priority = 1,
+                         .objective_deadline = action.objective_deadline});
+  }
+  void ApplyOne(std::size_t number,
+                std::uint64_t id,
+                const request_run::wake& action) {
+    active_request& active = hosts_[number]->requests[id];
+    const std::uint64_t wake = ++active.wake;
+    At(std::max(now_, action.at), [this, number, id, wake] {
+      host& woken = *hosts_[number];
+      const auto found = woken.requests.find(id);
+      if (found != woken.requests.end() && found->second.wake == wake &&
+          !found->second.run->finished()) {
+        Apply(number, id, found->second.run->Tick(now_, woken.shared));
+      }
+    });
+  }
+  void ApplyOne(std::size_t number,
+                std::uint64_t id,
+                const request_run::finish& action) {
+    const active_request& active = hosts_[number]->requests[id];
+    hosts_[number]->shared.waiting.Remove(request_number(id));
+    second_result& result = results_[active.second];
+    if (const auto* refused = std::get_if<refused_answer>(&action.answer)) {
+      OnRefused(active, refused->retry_after, result);
+      return;
+    }
+    const auto* gathered = std::get_if<gathered_answer>(&action.answer);
+    if (gathered == nullptr) {
+      ++result.failed;
+      return;
+    }
+    const double coverage =
+        1 - static_cast<double>(gathered->missing) / scenario_.shards;
+    if (now_ + kCallerWay - active.asked > scenario_.objective) {
+      ++result.late;
+      return;
+    }
+    ++(active.returned ? result.prompt_after_refusal : result.prompt);
+    result.coverage_squares += coverage * coverage;
+  }
+  /// A caller returns once, if that takes at most a third of its time left.
+  void OnRefused(const active_request& active,
+                 duration retry_after,
+                 second_result& result) {
+    const duration left = active.first_asked + scenario_.timeout - now_;
+    if (active.returned || retry_after > left / 3) {
+      ++result.refused;
+      return;
+    }
+    At(now_ + retry_after,
+       [this, second = active.second, first = active.first_asked] {
+         Ask(second, first, /*returned=*/true);
+       });
+  }
+
+  void Arrive(const endpoint_id& id, const job& arrived) {
+    endpoint_model& endpoint = endpoints_[id];
+    if (endpoint.running >= scenario_.slots &&
+        endpoint.queue.size() >= scenario_.queue) {
+      Reply(id, arrived, endpoint_refused{});
+      return;
+    }
+    endpoint.queue.push_back(arrived);
+    RunNext(id);
+  }
+  void RunNext(const endpoint_id& id) {
+    endpoint_model& endpoint = endpoints_[id];
+    while (endpoint.running < scenario_.slots && !endpoint.queue.empty()) {
+      const job next = endpoint.queue.front();
+      endpoint.queue.pop_front();
+      if (now_ >= next.deadline) {
+        Reply(id, next, endpoint_refused{});
+        continue;
+      }
+      ++endpoint.running;
+      At(now_ + WorkTime(endpoint), [this, id, next] {
+        --endpoints_[id].running;
+        endpoint_replied reply;
+        reply.response.status = 200;
+        reply.response.body = std::string(kRecordBytes, 'x');
+        reply.stamp = id.value();
+        Reply(id, next, reply);
+        RunNext(id);
+      });
+    }
+  }
+  /// Time until a job that begins now is done: its work, and what is left of a
+  /// pause.
+  duration WorkTime(const endpoint_model& endpoint) {
+    const double slow =
+        scenario_.slowness(endpoint.shard, endpoint.replica, now_);
+    const auto work = std::chrono::duration_cast<duration>(
+        scenario_.work * (0.6 + 0.8 * Uniform()) * slow);
+    const auto offset = std::chrono::duration_cast<duration>(
+        scenario_.pause_interval * endpoint.phase);
+    const duration in_interval =
+        (now_ - start_ + offset) % scenario_.pause_interval;
+    return in_interval < scenario_.pause ? scenario_.pause - in_interval + work
+                                         : work;
+  }
+  void Reply(const endpoint_id& id, const job& done, attempt_outcome outcome) {
+    At(now_ + kOneWay, [this, id, done, outcome = std::move(outcome)] {
+      host& receiver = *hosts_[done.host];
+      --receiver.busy[id];
+      ReportIdle(receiver, id);
+      const auto found = receiver.requests.find(done.request);
+      found->second.attempts.erase(done.attempt);
+      Apply(done.host, done.request,
+            found->second.run->OnOutcome(now_, receiver.shared, done.attempt,
+                                         outcome));
+      Continue(done.host, Service(endpoints_[id].shard));
+      const auto ended = receiver.requests.find(done.request);
+      if (ended->second.attempts.empty() && ended->second.run->finished()) {
+        receiver.requests.erase(ended);
+      }
+    });
+  }
+  void ReportIdle(host& reporting, const endpoint_id& id) const {
+    reporting.shared.selector.SetIdleConnections(
+        id, scenario_.connections_per_host - reporting.busy[id]);
+  }
+  /// Gives a free connection to a request that waits for one.
+  void Continue(std::size_t number, const service_id& service) {
+    host& h = *hosts_[number];
+    while (const auto next = h.shared.waiting.Pop(now_, service)) {
+      const std::uint64_t id = next->request.value();
+      const auto found = h.requests.find(id);
+      if (found != h.requests.end() && !found->second.run->finished()) {
+        Apply(number, id,
+              found->second.run->OnCapacity(now_, h.shared, next->shard));
+        return;
+      }
+    }
+  }
+
+  static constexpr duration kOneWay = std::chrono::microseconds(500);
+  /// Network time between a caller and a host, there and back.
+  static constexpr duration kCallerWay = milliseconds(4);
+
+  scenario scenario_;
+  std::mt19937_64 random_;
+  const time_point start_{seconds(1)};
+  time_point now_ = start_;
+  std::shared_ptr<const route_table> table_;
+  std::map<endpoint_id, endpoint_model> endpoints_;
+  std::vector<std::unique_ptr<host>> hosts_;
+  std::priority_queue<event> events_;
+  std::uint64_t last_order_ = 0;
+  std::uint64_t last_request_ = 0;
+  std::vector<second_result> results_;
+};
+
+}  // namespace trefoilmill::simulation
+
+#endif  // TREFOILMILL_REQUEST_ENDPOINT_SIMULATION_TEST_H_
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -107,6 +107,12 @@
            out);
     return out;
   }
+  if (const auto retry_after = RefuseUntil(now, shared)) {
+    Finish(refused_answer{.reason = reason_code::kOverloaded,
+                          .retry_after = *retry_after},
+           out);
+    return out;
+  }
   for (std::size_t index = 0; index < shards_.size(); ++index) {
     Dispatch(now, shared, index, out);
   }
@@ -126,6 +132,26 @@
   return out;
 }
 
+std::optional<duration> request_run::RefuseUntil(
+    time_point now,
+    shared_request_state& shared) const {
+  const duration expected = ExpectedLatency(shared, *route_);
+  deadline_admission::prospect prospect{.shard_latencies = {},
+                                        .min_coverage = 1,
+                                        .time_left = objective_deadline_ - now,
+                                        .priority = route_->priority};
+  if (const auto* gather = std::get_if<gather_target>(&route_->target)) {
+    prospect.min_coverage = gather->min_coverage;
+  }
+  std::ranges::transform(shards_, std::back_inserter(prospect.shard_latencies),
+                         [&](const shard& s) {
+                           return shared.selector.PredictLatency(
+                               now, shared.registry, s.service, expected,
+                               shared.waiting.TimelyWaiters(now, s.service));
+                         });
+  return shared.admission.RefuseUntil(prospect);
+}
+
 // No send was carried out yet, so a request that cannot be answered does not
 // reach any endpoint.
 void request_run::CancelPlannedSends(shared_request_state& shared,
@@ -148,9 +174,10 @@
                            std::size_t index,
                            actions& out) {
   shard& s = shards_[index];
-  const auto selection = shared.selector.Select(
-      now, shared.registry, s.service, s.tried_endpoints,
-      ExpectedLatency(shared, *route_), endpoint_selector::purpose::kFirst);
+  const auto selection =
+      shared.selector.Select(now, shared.registry, s.service, s.tried_endpoints,
+                             ExpectedLatency(shared, *route_), TimeLeft(now),
+                             endpoint_selector::purpose::kFirst);
   if (const auto* selected =
           std::get_if<endpoint_selector::selected>(&selection)) {
     SendTo(now, shared, index, selected->endpoint, out);
@@ -158,7 +185,9 @@
   }
   if (std::holds_alternative<endpoint_selector::no_capacity>(selection)) {
     s.awaiting_capacity = true;
-    out.emplace_back(await_capacity{.shard = index, .service = s.service});
+    out.emplace_back(await_capacity{.shard = index,
+                                    .service = s.service,
+                                    .objective_deadline = objective_deadline_});
     return;
   }
   s.failed = true;
@@ -354,8 +383,9 @@
   const auto purpose = NeedsAllRemainingShards()
                            ? endpoint_selector::purpose::kFirst
                            : endpoint_selector::purpose::kHedge;
-  const auto selection = shared.selector.Select(
-      now, shared.registry, s.service, s.tried_endpoints, usual, purpose);
+  const auto selection =
+      shared.selector.Select(now, shared.registry, s.service, s.tried_endpoints,
+                             usual, TimeLeft(now), purpose);
   const auto* selected = std::get_if<endpoint_selector::selected>(&selection);
   if (selected == nullptr) {
     return;
@@ -383,6 +413,11 @@
          static_cast<double>(failed) / static_cast<double>(shards_.size());
 }
 
+duration request_run::TimeLeft(time_point now) const {
+  return now < objective_deadline_ ? objective_deadline_ - now
+                                   : answer_deadline_ - now;
+}
+
 time_point request_run::CapacityDeadline() const {
   return arrived_ + route_->objective / kCapacityWaitDivisor;
 }
--- a/src/libtrefoilmill/request/request_run_fixture_test.h
+++ b/src/libtrefoilmill/request/request_run_fixture_test.h
@@ -24,7 +24,9 @@
                                     std::chrono::seconds(3)),
       .selector = endpoint_selector(zone_id("erie"), std::mt19937_64(3)),
       .extra_sends = extra_send_budget({.ratio = 0.2, .slack = 60}),
-      .latencies = {}};
+      .latencies = {},
+      .admission = deadline_admission(std::mt19937_64(5)),
+      .waiting = {}};
   std::shared_ptr<const route_table> table;
   std::unique_ptr<request_run> run;
   std::vector<request_run::send> sends;
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -51,12 +51,15 @@
 }
 
 shared_request_state CreateSharedState(const entry_settings& settings) {
-  return {.registry =
-              endpoint_registry(VanishedRetention(settings), settings.drain),
-          .selector = endpoint_selector(
-              settings.zone, std::mt19937_64(std::random_device()())),
-          .extra_sends = extra_send_budget(settings.extra_sends),
-          .latencies = {}};
+  return {
+      .registry =
+          endpoint_registry(VanishedRetention(settings), settings.drain),
+      .selector = endpoint_selector(settings.zone,
+                                    std::mt19937_64(std::random_device()())),
+      .extra_sends = extra_send_budget(settings.extra_sends),
+      .latencies = {},
+      .admission = deadline_admission(std::mt19937_64(std::random_device()())),
+      .waiting = {}};
 }
 
 /// Assigns the created server, or returns the error.
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -109,7 +109,7 @@
     return;
   }
   const time_point deadline = now + caller.time_left.value_or(matched->timeout);
-  const request_number number = ++last_number_;
+  const request_number number(++last_number_);
   auto created = std::make_unique<active_request>(active_request{
       .id = caller.id,
       .original = std::move(request),
@@ -165,15 +165,18 @@
 void request_handler::RunAction(request_number number,
                                 active_request& active,
                                 const request_run::await_capacity& action) {
-  waiting_shards_[action.service][active.run.matched().priority].push_back(
-      {.request = number, .shard = action.shard});
+  shared_state_.waiting.Push(action.service,
+                             {.request = number,
+                              .shard = action.shard,
+                              .priority = active.run.matched().priority,
+                              .objective_deadline = action.objective_deadline});
   for (const endpoint_id& id :
        shared_state_.registry.EndpointsOf(action.service)) {
     pools_.RequestConnection(id);
   }
 }
 
-void request_handler::RunAction(request_number /*number*/,
+void request_handler::RunAction(request_number number,
                                 active_request& active,
                                 request_run::finish& action) {
   active.wake_timer = timer();
@@ -182,6 +185,7 @@
   }
   active.answered = true;
   --unanswered_;
+  shared_state_.waiting.Remove(number);
   if (active.caller_disconnected) {
     return;
   }
@@ -275,28 +279,16 @@
   if (entry == nullptr) {
     return;
   }
-  const auto found = waiting_shards_.find(entry->record.service);
-  if (found == waiting_shards_.end()) {
-    return;
-  }
-  auto& by_priority = found->second;
-  while (!by_priority.empty()) {
-    auto& queue = by_priority.begin()->second;
-    if (queue.empty()) {
-      by_priority.erase(by_priority.begin());
-      continue;
-    }
-    const waiting_shard next = queue.front();
-    queue.pop_front();
-    const auto waiting = active_requests_.find(next.request);
+  const service_id service = entry->record.service;
+  while (const auto next = shared_state_.waiting.Pop(loop_.Now(), service)) {
+    const auto waiting = active_requests_.find(next->request);
     if (waiting != active_requests_.end() && !waiting->second->run.finished()) {
-      RunActions(next.request, waiting->second->run.OnCapacity(
-                                   loop_.Now(), shared_state_, next.shard));
-      EraseIfFinished(next.request);
+      RunActions(next->request, waiting->second->run.OnCapacity(
+                                    loop_.Now(), shared_state_, next->shard));
+      EraseIfFinished(next->request);
       return;
     }
   }
-  waiting_shards_.erase(found);
 }
 
 void request_handler::OnCallerDisconnected(request_number number) {
@@ -310,6 +302,7 @@
     active.answered = true;
     --unanswered_;
     active.run.OnCallerDisconnected();
+    shared_state_.waiting.Remove(number);
     telemetry_.meter->Increment(metric::kCallerRequests, {"gone"});
   }
   active.wake_timer = timer();
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -4,9 +4,7 @@
 #define TREFOILMILL_ENTRY_REQUEST_HANDLER_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -56,13 +54,6 @@
 
  private:
   struct active_request;
-  /// Identifies a request within the process.
-  using request_number = std::uint64_t;
-  /// A shard that waits for a connection to any endpoint of its service.
-  struct waiting_shard {
-    request_number request = 0;
-    std::size_t shard = 0;
-  };
 
   /// The services of all shards, or one service drawn at random by weight.
   std::vector<service_id> SelectServices(const route& r);
@@ -106,14 +97,10 @@
   std::function<void(const endpoint_id&)> on_endpoint_leaving_;
   std::shared_ptr<const route_table> route_table_;
   duration loop_delay_{};
-  request_number last_number_ = 0;
+  std::uint64_t last_number_ = 0;
   std::size_t unanswered_ = 0;
   std::unordered_map<request_number, std::unique_ptr<active_request>>
       active_requests_;
-  /// Waiting shards of each service by priority, most urgent first, then in
-  /// order of arrival.
-  std::map<service_id, std::map<int, std::deque<waiting_shard>>>
-      waiting_shards_;
 };
 
 }  // namespace trefoilmill::entry
