Admission: returned callers wait for the load to fall; answers' logs name shards

Most callers come back once.

Change: a caller whose time left is shorter than others' has been refused before. It is let in more readily, and if it is not, its request waits, with nothing sent, for at most two objectives for the expected latency to become safe. The log line of a late or incomplete answer names up to four shards, the endpoint tried last and why none was sent again.

--- a/src/include/trefoilmill/process/deadline_admission.h
+++ b/src/include/trefoilmill/process/deadline_admission.h
@@ -5,6 +5,9 @@
 /// done, but for nobody. Requests are then refused before anything is sent, so
 /// that those which are let in are answered within their objective.
 ///
+/// Callers that were refused and came back are let in more readily, and their
+/// requests may wait for the load to fall in place of a second refusal.
+///
 /// The latency of a request is that of the slowest shard it cannot do without.
 /// The lower the coverage that its route accepts, the more slow shards may be
 /// left out.
@@ -35,11 +38,17 @@
     duration time_left{};
     /// 0 is the most urgent.
     int priority = 0;
+    /// The caller was refused before and came back.
+    bool returned = false;
   };
 
   /// Returns nullopt to let the request in, else when its caller may return.
   std::optional<duration> RefuseUntil(const prospect& expected);
 
+  /// Whether the expected latency leaves enough of the time for all requests to
+  /// be let in.
+  static bool IsSafe(const prospect& expected);
+
   /// The latency within which so many shards answer as the coverage requires;
   /// nullopt if too few have a usable endpoint.
   static std::optional<duration> LatencyForCoverage(const prospect& expected);
--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -29,6 +29,8 @@
   deadline_admission admission;
   /// Sub-requests that wait for a free connection.
   capacity_queue waiting;
+  /// The longest time that a caller of each route was willing to wait.
+  std::unordered_map<route_id, duration> longest_waits;
   /// The most recently assigned attempt id.
   std::uint64_t last_attempt_id = 0;
 };
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -75,6 +76,26 @@
     variant<gathered_answer, relayed_answer, refused_answer, failed_answer>;
 /// @}
 
+/// Why a sub-request that was late or had failed was not sent again.
+enum class resend_obstacle {
+  kNone,          ///< It was, or there was no need yet.
+  kBudget,        ///< The budget for extra sends was exhausted.
+  kNoConnection,  ///< No suitable endpoint had a free connection.
+  kNoReplica,     ///< No other endpoint was usable.
+  kAttemptLimit,  ///< As many endpoints were tried as the route allows.
+};
+
+/// Returns "none", "budget", "no_connection", "no_replica" or "attempt_limit".
+std::string_view ToString(resend_obstacle obstacle);
+
+/// A shard that an answer lacks or had to wait for.
+struct shard_trouble {
+  service_id service;
+  /// The endpoint that was tried last; empty if none was.
+  endpoint_id endpoint;
+  resend_obstacle obstacle = resend_obstacle::kNone;
+};
+
 /// State machine of one request. It performs no I/O and reads no clock: its
 /// user carries out the returned actions and reports their outcomes. The
 /// `shared` argument of its functions is the state that all requests of the
@@ -161,6 +182,9 @@
   /// The route that the request matched.
   const route& matched() const { return *route_; }
   const summary& counts() const { return counts_; }
+  /// The shards without a good reply, or that were hedged or due to be, at most
+  /// `limit`; those without a reply first.
+  std::vector<shard_trouble> Troubles(std::size_t limit) const;
   /// Whether an attempt has no outcome yet, so an endpoint may be running it.
   bool in_flight() const;
 
@@ -183,16 +207,27 @@
     /// When a next hedge may be sent, once a first one was due. A hedge is not
     /// sent if it finds no endpoint or no budget.
     std::optional<time_point> next_hedge_at;
+    /// Why it was not sent again when that was due last.
+    resend_obstacle obstacle = resend_obstacle::kNone;
     /// The greatest verdict of its failed attempts.
     verdict worst_verdict = verdict::kNotRun;
 
     bool pending() const { return !reply.has_value() && !failed; }
   };
 
-  /// Returns when the caller may return if the request has to expect a latency
-  /// beyond its objective and is not let in.
-  std::optional<duration> RefuseUntil(time_point now,
-                                      shared_request_state& shared) const;
+  /// What the request has to expect if it is sent now, with `time_left` until
+  /// its objective.
+  deadline_admission::prospect Prospect(time_point now,
+                                        const shared_request_state& shared,
+                                        duration time_left) const;
+  /// Whether the caller was refused before, which its remaining time shows.
+  bool HasReturned(time_point now, shared_request_state& shared) const;
+  /// Sends every shard's first attempt, or refuses the request if too few
+  /// shards have a usable endpoint.
+  actions SendAll(time_point now, shared_request_state& shared);
+  /// Sends a deferred request once the load allows, or refuses it when its time
+  /// runs out.
+  actions ContinueDeferred(time_point now, shared_request_state& shared);
   /// Selects an endpoint for a shard and sends to it. Waits for a connection if
   /// all are in use; fails the shard if no endpoint is usable.
   void Dispatch(time_point now,
@@ -265,6 +300,8 @@
   /// Latest time to send an answer that meets the route's objective.
   time_point objective_deadline_;
   bool finished_ = false;
+  /// Until when the request waits, with nothing sent, for the load to fall.
+  std::optional<time_point> deferred_until_;
   /// Start() has planned sends that are not carried out yet.
   bool planning_ = false;
   /// The latest error that an endpoint itself replied with.
--- a/src/libtrefoilmill/process/deadline_admission.cc
+++ b/src/libtrefoilmill/process/deadline_admission.cc
@@ -12,6 +12,9 @@
 constexpr double kSafeFraction = 0.4;
 /// Exponent of the fraction of requests that are let in beyond that.
 constexpr double kAdmissionExponent = 3;
+/// The same for callers that were refused before: few of them come a third
+/// time.
+constexpr double kReturnedExponent = 2;
 /// The least fraction let in, from whose latencies hosts learn that the
 /// overload has ended.
 constexpr double kMinAdmitted = 0.05;
@@ -20,8 +23,19 @@
 constexpr duration kMinReturn = std::chrono::milliseconds(100);
 constexpr duration kMaxReturn = std::chrono::milliseconds(500);
 
+/// The latency that is safe, relative to the one that is expected.
+double SafetyRatio(duration latency, duration time_left) {
+  return kSafeFraction * static_cast<double>(time_left.count()) /
+         std::max(1.0, static_cast<double>(latency.count()));
+}
+
 }  // namespace
 
+bool deadline_admission::IsSafe(const prospect& expected) {
+  const auto latency = LatencyForCoverage(expected);
+  return latency.has_value() && SafetyRatio(*latency, expected.time_left) >= 1;
+}
+
 std::optional<duration> deadline_admission::LatencyForCoverage(
     const prospect& expected) {
   std::vector<duration> usable;
@@ -49,12 +63,11 @@
   if (!latency.has_value() || expected.priority == 0) {
     return std::nullopt;
   }
-  const double safe =
-      kSafeFraction * static_cast<double>(expected.time_left.count());
-  const double ratio =
-      safe / std::max(1.0, static_cast<double>(latency->count()));
-  const double admitted = std::clamp(
-      std::pow(std::max(ratio, 0.0), kAdmissionExponent), kMinAdmitted, 1.0);
+  const double ratio = SafetyRatio(*latency, expected.time_left);
+  const double exponent =
+      expected.returned ? kReturnedExponent : kAdmissionExponent;
+  const double admitted =
+      std::clamp(std::pow(std::max(ratio, 0.0), exponent), kMinAdmitted, 1.0);
   if (std::uniform_real_distribution<double>(0, 1)(random_) < admitted) {
     return std::nullopt;
   }
--- a/src/libtrefoilmill/process/deadline_admission_test.cc
+++ b/src/libtrefoilmill/process/deadline_admission_test.cc
@@ -64,6 +64,19 @@
   BOOST_TEST(Admitted(Expect({milliseconds(50)})) == 1.0);
 }
 
+BOOST_AUTO_TEST_CASE(callers_that_return_are_let_in_more_readily) {
+  prospect expected = Expect({milliseconds(150)});
+  const double first = Admitted(expected);
+  expected.returned = true;
+  BOOST_TEST(Admitted(expected) > first + 0.05);
+}
+
+BOOST_AUTO_TEST_CASE(a_latency_is_safe_far_below_the_objective) {
+  BOOST_TEST(deadline_admission::IsSafe(Expect({milliseconds(50)})));
+  BOOST_TEST(!deadline_admission::IsSafe(Expect({milliseconds(150)})));
+  BOOST_TEST(!deadline_admission::IsSafe(Expect({std::nullopt})));
+}
+
 BOOST_AUTO_TEST_CASE(the_most_urgent_requests_are_let_in) {
   prospect expected = Expect({milliseconds(2000)});
   expected.priority = 0;
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -34,6 +34,15 @@
 /// A request that gets no free connection within the objective divided by this
 /// divisor is refused, so that its caller can still be served in time.
 constexpr int kCapacityWaitDivisor = 5;
+/// A caller whose time left is shorter than that of others by more than this
+/// has been refused before.
+constexpr duration kMinReturnDelay = std::chrono::milliseconds(60);
+/// A returned caller's request that is not let in waits for this many
+/// objectives at most: most callers do not come a third time, so that a late
+/// answer is worth more to them than a second refusal.
+constexpr int kMaxDeferralObjectives = 2;
+/// How often a deferred request checks whether the load has fallen.
+constexpr duration kDeferralInterval = std::chrono::milliseconds(25);
 /// Minimum time before the answer deadline for a first send or a retry.
 constexpr duration kMinTimeToSend = std::chrono::milliseconds(2);
 
@@ -76,6 +85,22 @@
 
 }  // namespace
 
+std::string_view ToString(resend_obstacle obstacle) {
+  switch (obstacle) {
+    case resend_obstacle::kNone:
+      return "none";
+    case resend_obstacle::kBudget:
+      return "budget";
+    case resend_obstacle::kNoConnection:
+      return "no_connection";
+    case resend_obstacle::kNoReplica:
+      return "no_replica";
+    case resend_obstacle::kAttemptLimit:
+      return "attempt_limit";
+  }
+  return "unknown";
+}
+
 request_run::request_run(std::shared_ptr<const route_table> table,
                          const route& r,
                          std::vector<service_id> services,
@@ -107,12 +132,49 @@
            out);
     return out;
   }
-  if (const auto retry_after = RefuseUntil(now, shared)) {
+  deadline_admission::prospect prospect =
+      Prospect(now, shared, objective_deadline_ - now);
+  prospect.returned = HasReturned(now, shared);
+  const auto retry_after = shared.admission.RefuseUntil(prospect);
+  const time_point defer_until =
+      std::min(now + kMaxDeferralObjectives * route_->objective,
+               answer_deadline_ - route_->objective);
+  if (retry_after.has_value() && prospect.returned && defer_until > now) {
+    deferred_until_ = defer_until;
+    return ContinueDeferred(now, shared);
+  }
+  if (retry_after.has_value()) {
     Finish(refused_answer{.reason = reason_code::kOverloaded,
                           .retry_after = *retry_after},
            out);
     return out;
   }
+  return SendAll(now, shared);
+}
+
+request_run::actions request_run::ContinueDeferred(
+    time_point now,
+    shared_request_state& shared) {
+  actions out;
+  const bool safe = deadline_admission::IsSafe(
+      Prospect(now, shared, route_->objective - kCallerNetworkTime));
+  if (safe) {
+    deferred_until_.reset();
+    return SendAll(now, shared);
+  }
+  if (now >= *deferred_until_) {
+    Finish(refused_answer{.reason = reason_code::kOverloaded,
+                          .retry_after = kDefaultRetryAfter},
+           out);
+    return out;
+  }
+  out.emplace_back(wake{std::min(now + kDeferralInterval, *deferred_until_)});
+  return out;
+}
+
+request_run::actions request_run::SendAll(time_point now,
+                                          shared_request_state& shared) {
+  actions out;
   for (std::size_t index = 0; index < shards_.size(); ++index) {
     Dispatch(now, shared, index, out);
   }
@@ -132,13 +194,22 @@
   return out;
 }
 
-std::optional<duration> request_run::RefuseUntil(
+bool request_run::HasReturned(time_point now,
+                              shared_request_state& shared) const {
+  duration& longest = shared.longest_waits[route_->id];
+  const duration wait = answer_deadline_ - now;
+  longest = std::max(longest, wait);
+  return wait < longest - kMinReturnDelay;
+}
+
+deadline_admission::prospect request_run::Prospect(
     time_point now,
-    shared_request_state& shared) const {
+    const shared_request_state& shared,
+    duration time_left) const {
   const duration expected = ExpectedLatency(shared, *route_);
   deadline_admission::prospect prospect{.shard_latencies = {},
                                         .min_coverage = 1,
-                                        .time_left = objective_deadline_ - now,
+                                        .time_left = time_left,
                                         .priority = route_->priority};
   if (const auto* gather = std::get_if<gather_target>(&route_->target)) {
     prospect.min_coverage = gather->min_coverage;
@@ -149,7 +220,7 @@
                                now, shared.registry, s.service, expected,
                                shared.waiting.TimelyWaiters(now, s.service));
                          });
-  return shared.admission.RefuseUntil(prospect);
+  return prospect;
 }
 
 // No send was carried out yet, so a request that cannot be answered does not
@@ -191,6 +262,7 @@
     return;
   }
   s.failed = true;
+  s.obstacle = resend_obstacle::kNoReplica;
   s.usable_at =
       std::get<endpoint_selector::no_usable_endpoint>(selection).usable_at;
   ++counts_.without_endpoint;
@@ -207,6 +279,7 @@
   s.tried_endpoints.push_back(endpoint);
   s.in_flight.push_back({.id = id, .endpoint = endpoint, .sent = now});
   s.awaiting_capacity = false;
+  s.obstacle = resend_obstacle::kNone;
   ++counts_.sends;
   shared.selector.OnSend(now, endpoint, id);
   out.emplace_back(send{.attempt = id,
@@ -285,11 +358,13 @@
     return;
   }
   if (!CanRetry(s) || answer_deadline_ - now < kMinTimeToSend) {
+    s.obstacle = resend_obstacle::kAttemptLimit;
     s.failed = true;
     return;
   }
   if (!shared.extra_sends.TrySpend(now, s.service)) {
     ++counts_.budget_refusals;
+    s.obstacle = resend_obstacle::kBudget;
     s.failed = true;
     return;
   }
@@ -321,6 +396,9 @@
   if (finished_) {
     return out;
   }
+  if (deferred_until_.has_value()) {
+    return ContinueDeferred(now, shared);
+  }
   HedgeLateShards(now, shared, out);
   FinishIfDue(now, out);
   ScheduleWake(now, shared, out);
@@ -388,12 +466,17 @@
                              usual, TimeLeft(now), purpose);
   const auto* selected = std::get_if<endpoint_selector::selected>(&selection);
   if (selected == nullptr) {
+    s.obstacle =
+        std::holds_alternative<endpoint_selector::no_capacity>(selection)
+            ? resend_obstacle::kNoConnection
+            : resend_obstacle::kNoReplica;
     return;
   }
   const double reserve = kRetryReserveFraction *
                          std::max(0.0, shared.extra_sends.max_balance() - 1);
   if (!shared.extra_sends.TrySpend(now, s.service, reserve)) {
     ++counts_.budget_refusals;
+    s.obstacle = resend_obstacle::kBudget;
     return;
   }
   s.hedged = true;
@@ -401,6 +484,26 @@
   SendTo(now, shared, index, selected->endpoint, out);
 }
 
+std::vector<shard_trouble> request_run::Troubles(std::size_t limit) const {
+  std::vector<const shard*> troubled;
+  for (const shard& s : shards_) {
+    if (!s.reply.has_value() || s.next_hedge_at.has_value()) {
+      troubled.push_back(&s);
+    }
+  }
+  std::ranges::stable_partition(
+      troubled, [](const shard* s) { return !s->reply.has_value(); });
+  std::vector<shard_trouble> out;
+  for (const shard* s : troubled | std::views::take(limit)) {
+    out.push_back({.service = s->service,
+                   .endpoint = s->tried_endpoints.empty()
+                                   ? endpoint_id()
+                                   : s->tried_endpoints.back(),
+                   .obstacle = s->obstacle});
+  }
+  return out;
+}
+
 double request_run::Coverage() const {
   return static_cast<double>(counts_.answered) /
          static_cast<double>(shards_.size());
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -21,6 +21,23 @@
 constexpr int kLoopDelayDivisor = 3;
 /// When callers may retry a request that was refused because of the loop delay.
 constexpr duration kOverloadRetryAfter = std::chrono::milliseconds(120);
+/// Shards that the log line of a late or incomplete answer names at most.
+constexpr std::size_t kMaxLoggedTroubles = 4;
+
+/// For example "shelf-3@i-7 budget, shelf-9 no_replica": shard, endpoint tried
+/// last, and why it was not sent again.
+std::string DescribeTroubles(const request_run& run) {
+  std::string text;
+  for (const shard_trouble& trouble : run.Troubles(kMaxLoggedTroubles)) {
+    text += text.empty() ? "" : ", ";
+    text += trouble.service.value();
+    if (trouble.endpoint != endpoint_id()) {
+      text += "@" + trouble.endpoint.value();
+    }
+    text += " " + std::string(ToString(trouble.obstacle));
+  }
+  return text;
+}
 
 }  // namespace
 
@@ -391,7 +408,8 @@
                   {"sends", number(counts.sends)},
                   {"hedges", number(counts.hedges)},
                   {"retries", number(counts.retries)},
-                  {"budget_refusals", number(counts.budget_refusals)}}});
+                  {"budget_refusals", number(counts.budget_refusals)},
+                  {"troubles", DescribeTroubles(active.run)}}});
 }
 
 }  // namespace trefoilmill::entry
