Membership: late timers are no pause; suspects of large fleets refute longer

A refutation needs about log2(hosts) rounds of gossip, and had 1 s at 195 hosts. The finding of an earlier reading: ticks come a whole interval apart if nothing is due, so that each late timer counted as a pause of the process and restarted all suspicion timeouts.

--- a/src/libtrefoilmill/membership_probe.cc
+++ b/src/libtrefoilmill/membership_probe.cc
@@ -37,7 +37,10 @@
 
 membership::actions membership::Tick(time_point now) {
   actions out;
-  const bool paused = now - last_tick_ > config_.probe_interval;
+  // Between rounds nothing may be due, so that ticks come a whole interval
+  // apart, and timers fire late.
+  const bool paused =
+      now - last_tick_ > config_.probe_interval + config_.probe_timeout;
   last_tick_ = now;
   if (members_.at(self_).state == member_state::kLeft) {
     return out;
@@ -61,7 +64,7 @@
     return !entry.second.on_behalf_of.has_value();
   });
   for (auto& deadline : suspicions_ | std::views::values) {
-    deadline = now + config_.suspicion_timeout;
+    deadline = now + SuspicionTimeout(config_, members_.size());
   }
 }
 
--- a/src/libtrefoilmill/membership_test.cc
+++ b/src/libtrefoilmill/membership_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <ranges>
 
 namespace trefoilmill {
 namespace {
@@ -225,4 +226,32 @@
       pings, [](const auto& sent) { return sent.second.updates.size() <= 4; }));
 }
 
+// Ticks come whole probe intervals apart if nothing else is due.
+BOOST_AUTO_TEST_CASE(a_late_timer_is_no_pause_of_the_process) {
+  fixture f({"b", "c", "d"});
+  f.RunFor(milliseconds(1200), false);
+  const membership_config config;
+  const time_point suspected = f.now;
+  f.RunFor(milliseconds(700), false);
+  BOOST_TEST_REQUIRE((f.StateOf("b") != member_state::kAlive ||
+                      f.StateOf("c") != member_state::kAlive));
+  while (f.now - suspected < 2 * config.suspicion_timeout) {
+    f.now += config.probe_interval + std::chrono::microseconds(200);
+    f.self.Tick(f.now);
+  }
+  const auto dead = std::ranges::count_if(
+      std::views::values(f.self.members()),
+      [](const member& m) { return m.state == member_state::kDead; });
+  BOOST_TEST(dead > 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_suspect_of_a_large_fleet_has_longer_to_refute) {
+  membership_config config;
+  BOOST_TEST((SuspicionTimeout(config, 200) == config.suspicion_timeout));
+  config.suspicion_growth = 0.5;
+  BOOST_TEST((SuspicionTimeout(config, 3) == config.suspicion_timeout));
+  BOOST_TEST((SuspicionTimeout(config, 8) == config.suspicion_timeout));
+  BOOST_TEST((SuspicionTimeout(config, 32) == 2 * config.suspicion_timeout));
+}
+
 }  // namespace trefoilmill
