--- a/src/include/trefoilmill/process/sending_hosts.h
+++ b/src/include/trefoilmill/process/sending_hosts.h
@@ -16,6 +16,7 @@
   std::size_t standby = 0;
   /// Whether this host is advertised to callers.
   bool is_advertised = true;
+  friend bool operator==(const sending_hosts&, const sending_hosts&) = default;
 };
 
 }  // namespace trefoilmill
--- a/src/include/trefoilmill/process/store_watcher_role.h
+++ b/src/include/trefoilmill/process/store_watcher_role.h
@@ -1,6 +1,7 @@
 /// Selects the hosts that watch the platform's store, so that the number of
-/// calls to the store does not grow with the number of hosts: a few designated
-/// watchers in each availability zone, selected by rendezvous hashing.
+/// calls to the store does not grow with the number of hosts: one or a few
+/// designated watchers in each availability zone, selected by rendezvous
+/// hashing.
 ///
 /// The watchers forward changes to the other hosts in feeds. If a host receives
 /// no feed from a host that reaches the store, it starts to watch and forward,
@@ -24,8 +25,10 @@
  public:
   /// Settings of the watcher selection.
   struct config {
-    /// Number of designated watchers per zone.
-    std::size_t watchers_per_zone = 2;
+    /// Designated watchers of all zones together, at least; every zone has one.
+    /// Zones hear of each other's revisions, so that the loss of one zone's
+    /// watcher is noticed even before another host of the zone takes over.
+    std::size_t min_watchers = 4;
     /// Time without a feed after which the first host that is not designated
     /// starts to watch.
     duration takeover_delay = std::chrono::milliseconds(1000);
@@ -39,8 +42,9 @@
   /// SetZoneHosts() is called.
   store_watcher_role(host_id self, const config& settings, time_point now);
 
-  /// Sets the live hosts of this host's zone; may or may not include this host.
-  void SetZoneHosts(const std::vector<host_id>& hosts);
+  /// Sets the live hosts of this host's zone, which may or may not include this
+  /// host, and the number of zones that have hosts.
+  void SetZoneHosts(const std::vector<host_id>& hosts, std::size_t zones);
   /// A feed arrived from a host that currently reaches the store.
   void OnStoreFeed(time_point now);
 
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -43,8 +43,10 @@
 /// A request that has waited for more than this many expected latencies
 /// indicates a pause.
 constexpr double kPauseRatio = 2.5;
-/// Cost factor of an endpoint in another availability zone.
-constexpr double kOtherZoneFactor = 1.25;
+/// Cost factor of an endpoint in another availability zone. With kCostExponent
+/// a healthy endpoint of this host's zone gets four of five sub-requests; one
+/// that is loaded, slow or failing loses them to the others.
+constexpr double kOtherZoneFactor = 2;
 /// Cost factor of an endpoint that the platform no longer announces.
 constexpr double kWithdrawnFactor = 4;
 /// The weight in the random selection is the cost to the power of minus this;
--- a/src/libtrefoilmill/process/store_watcher_role_test.cc
+++ b/src/libtrefoilmill/process/store_watcher_role_test.cc
@@ -20,11 +20,12 @@
   return hosts;
 }
 
-std::vector<store_watcher_role> Duties(const std::vector<host_id>& hosts) {
+std::vector<store_watcher_role> Duties(const std::vector<host_id>& hosts,
+                                       std::size_t zones = 3) {
   std::vector<store_watcher_role> duties;
   for (std::size_t i = 0; i < hosts.size(); ++i) {
     duties.emplace_back(hosts[i], store_watcher_role::config(), time_point());
-    duties.back().SetZoneHosts(hosts);
+    duties.back().SetZoneHosts(hosts, zones);
   }
   return duties;
 }
@@ -45,6 +46,16 @@
   BOOST_TEST(CountWatching(Duties(ZoneHosts(1)), time_point()) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(the_watchers_of_all_zones_are_few_but_never_one) {
+  for (const std::size_t zones : {1, 2, 3, 5, 18}) {
+    const auto each = CountWatching(Duties(ZoneHosts(20), zones), time_point());
+    const auto total = static_cast<std::size_t>(each) * zones;
+    BOOST_TEST(each >= 1);
+    BOOST_TEST(total >= 4U);
+    BOOST_TEST(total <= std::max<std::size_t>(zones, 6));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(another_host_replaces_a_failed_watcher) {
   auto hosts = ZoneHosts(9);
   const auto before = Duties(hosts);
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -59,7 +59,8 @@
       .extra_sends = extra_send_budget(settings.extra_sends),
       .latencies = {},
       .admission = deadline_admission(std::mt19937_64(std::random_device()())),
-      .waiting = {}};
+      .waiting = {},
+      .longest_waits = {}};
 }
 
 /// Assigns the created server, or returns the error.
@@ -135,7 +136,7 @@
       loop, settings, *process->store_, process->shared_state_.selector,
       process->telemetry_,
       peer_gossip::callbacks{
-          .on_hosts_changed = [self] { self->OnHostsChanged(); },
+          .on_hosts_changed = [self] { self->hosts_changed_ = true; },
           .on_departure =
               [self](const host_id& from, const endpoint_departure& departure) {
                 self->OnPeerDeparture(from, departure);
@@ -269,10 +270,10 @@
   pools_->MaintainConnections();
   // A host that becomes ready does not change its membership state, so the
   // entry hosts have to be checked periodically.
-  if (++housekeeping_runs_ % kHousekeepingRunsPerHostCheck == 0 &&
-      UpdateEntryHosts()) {
-    UpdateShares();
+  if (++housekeeping_runs_ % kHousekeepingRunsPerHostCheck == 0) {
+    hosts_changed_ = true;
   }
+  ApplyHostChanges();
   telemetry_.meter->Set(
       metric::kEndpointsKnown,
       static_cast<double>(shared_state_.registry.entries().size()));
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -72,12 +72,15 @@
   /// Creates, replaces and removes connection pools after changes of endpoints.
   void ApplyEndpointChanges(const endpoint_registry::changes& changes);
   void RetireDrainingPools();
-  /// Updates the entry hosts and this host's shares after changes of hosts.
-  void OnHostsChanged();
-  /// Chooses the hosts named to callers; returns whether they changed.
-  bool UpdateEntryHosts();
-  /// Updates this host's shares of connections and extra sends.
-  void UpdateShares();
+  /// Updates the entry hosts and this host's shares if hosts have changed. A
+  /// large fleet reports changes in bursts, which are applied together.
+  void ApplyHostChanges();
+  /// Chooses the hosts named to callers.
+  void UpdateEntryHosts();
+  /// Counts the hosts that share the limits with this one.
+  void CountHosts();
+  /// Updates this host's share of each endpoint's connections.
+  void UpdateConnectionLimits();
   /// Connections that this host may keep to an endpoint; 0 while there is no
   /// configuration.
   int ConnectionLimit(const endpoint_record& record) const;
@@ -110,6 +113,8 @@
   zones_out zones_out_;
   /// The zones that the selector leaves out.
   std::set<zone_id> zones_out_in_effect_;
+  /// Hosts may have changed since the last ApplyHostChanges().
+  bool hosts_changed_ = false;
   bool endpoints_known_ = false;
   bool was_ready_ = false;
   bool shutting_down_ = false;
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -89,7 +89,9 @@
                             config.callers.max_body_bytes,
                             config.callers.idle_timeout * kIdleTimeoutFactor);
   requests_->SetRouteTable(route_table_);
-  OnHostsChanged();
+  hosts_changed_ = true;
+  ApplyHostChanges();
+  UpdateConnectionLimits();
   ReportReadiness();
 }
 
@@ -248,7 +250,7 @@
     std::visit(visitor{*this}, change);
   }
   if (!changes.empty()) {
-    UpdateShares();
+    UpdateConnectionLimits();
   }
 }
 
@@ -273,19 +275,26 @@
        .slots = record.slots});
 }
 
-void entry_process::OnHostsChanged() {
+void entry_process::ApplyHostChanges() {
+  if (!std::exchange(hosts_changed_, false)) {
+    return;
+  }
   UpdateEntryHosts();
-  UpdateShares();
+  const sending_hosts before = sending_hosts_;
+  CountHosts();
+  if (sending_hosts_ != before) {
+    UpdateConnectionLimits();
+  }
 }
 
-bool entry_process::UpdateEntryHosts() {
+void entry_process::UpdateEntryHosts() {
   // During shutdown this host goes on serving with the entry hosts it knew.
   if (peers_ == nullptr || shutting_down_) {
-    return false;
+    return;
   }
   auto entry_hosts = peers_->EntryHosts();
   if (entry_hosts == entry_hosts_) {
-    return false;
+    return;
   }
   const bool was_named = IsAdvertised(settings_.host, entry_hosts_);
   entry_hosts_ = std::move(entry_hosts);
@@ -296,10 +305,9 @@
         {.inputs = {{"named", static_cast<std::int64_t>(entry_hosts_.size())},
                     {"millicores", peers_->self().millicores}}});
   }
-  return true;
 }
 
-void entry_process::UpdateShares() {
+void entry_process::CountHosts() {
   if (peers_ == nullptr) {
     return;
   }
@@ -308,10 +316,13 @@
   shared_state_.extra_sends.SetHosts(sending_hosts_);
   telemetry_.meter->Set(metric::kHosts, static_cast<double>(known.size()),
                         {"known"});
+  pools_->SetStandby(!sending_hosts_.is_advertised);
+}
+
+void entry_process::UpdateConnectionLimits() {
   for (const auto& [id, entry] : shared_state_.registry.entries()) {
     pools_->SetConnectionLimit(id, ConnectionLimit(entry.record));
   }
-  pools_->SetStandby(!sending_hosts_.is_advertised);
 }
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <ranges>
+#include <set>
 #include <utility>
 
 #include "trefoilmill/process/entry_hosts.h"
@@ -20,6 +21,7 @@
   config.probe_interval = std::chrono::milliseconds(500);
   config.probe_timeout = std::chrono::milliseconds(200);
   config.suspicion_timeout = std::chrono::milliseconds(1000);
+  config.suspicion_growth = 0.33;
   // Members per datagram of a table, so that each fits into one packet.
   config.table_chunk = 6;
   return config;
@@ -187,14 +189,19 @@
 
 void peer_gossip::RunHeartbeat() {
   std::vector<host_id> zone_hosts;
+  std::set<zone_id> zones;
   for (const auto& [id, m] : membership_.members()) {
     const bool alive =
         m.state == member_state::kAlive || m.state == member_state::kSuspect;
-    if (m.host.zone == self_.zone && alive) {
+    if (!alive) {
+      continue;
+    }
+    zones.insert(m.host.zone);
+    if (m.host.zone == self_.zone) {
       zone_hosts.push_back(id);
     }
   }
-  watch_duty_.SetZoneHosts(zone_hosts);
+  watch_duty_.SetZoneHosts(zone_hosts, zones.size());
   const bool must_watch = watch_duty_.ShouldWatch(loop_.Now());
   if (must_watch != watching_) {
     watching_ = must_watch;
