--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -1,39 +1,17 @@
+/// A request's way through request_run: admission, sends, outcomes and retries.
 #include "trefoilmill/request/request_run.h"
 
 #include <algorithm>
 #include <ranges>
 #include <utility>
 
+#include "request_timing.h"
+
 namespace trefoilmill {
 namespace {
 
-/// One-way network latency between a caller and a host.
-constexpr duration kCallerOneWayLatency = std::chrono::milliseconds(3);
-/// How late a timer may fire.
-constexpr duration kMaxTimerDelay = std::chrono::milliseconds(2);
-/// Part of the objective that is spent outside this host: one round trip to
-/// connect, one for the request and its answer, and the delay of a timer.
-constexpr duration kCallerNetworkTime =
-    4 * kCallerOneWayLatency + kMaxTimerDelay;
 /// Time reserved before the caller's deadline to deliver the answer.
 constexpr duration kAnswerDeliveryMargin = std::chrono::milliseconds(12);
-/// A sub-request is hedged when it takes longer than this latency quantile
-/// times this factor. A higher quantile would rise with the slow replies that
-/// hedges are meant to avoid.
-constexpr double kHedgeLatencyQuantile = 0.75;
-constexpr double kHedgeLatencyFactor = 1.5;
-/// A hedge that could not be sent is tried again after the hedge delay divided
-/// by this divisor, but not sooner than the minimum delay.
-constexpr int kHedgeRetryDivisor = 2;
-constexpr duration kMinHedgeRetryDelay = std::chrono::milliseconds(5);
-/// Until latencies are known, hedges are sent after the objective divided by
-/// this divisor.
-constexpr int kInitialHedgeDivisor = 4;
-/// Fraction of the accumulated extra-send budget that hedges leave for retries.
-constexpr double kRetryReserveFraction = 0.3;
-/// A request that gets no free connection within the objective divided by this
-/// divisor is refused, so that its caller can still be served in time.
-constexpr int kCapacityWaitDivisor = 5;
 /// A caller whose time left is shorter than that of others by more than this
 /// has been refused before.
 constexpr duration kMinReturnDelay = std::chrono::milliseconds(60);
@@ -46,12 +24,6 @@
 /// Minimum time before the answer deadline for a first send or a retry.
 constexpr duration kMinTimeToSend = std::chrono::milliseconds(2);
 
-/// Retry delay for callers if a request is refused for a reason other than
-/// endpoint load, for example because a shard has no usable endpoint.
-constexpr duration kDefaultRetryAfter = std::chrono::milliseconds(400);
-/// Retry delay for callers after endpoints refused a request due to load.
-constexpr duration kShedRetryAfter = std::chrono::milliseconds(100);
-
 /// Classifies an outcome for the statistics of the endpoint.
 send_outcome ClassifyOutcome(const attempt_outcome& outcome) {
   struct visitor {
@@ -405,89 +377,6 @@
   return out;
 }
 
-duration request_run::HedgeDelay(const shared_request_state& shared) const {
-  const auto found = shared.latencies.find(route_->id);
-  if (found != shared.latencies.end()) {
-    if (const auto learned = found->second.Quantile(kHedgeLatencyQuantile)) {
-      return std::chrono::duration_cast<duration>(kHedgeLatencyFactor *
-                                                  *learned);
-    }
-  }
-  return route_->objective / kInitialHedgeDivisor;
-}
-
-bool request_run::NeedsAllRemainingShards(time_point now) const {
-  const auto* gather = std::get_if<gather_target>(&route_->target);
-  if (gather == nullptr) {
-    // One endpoint may be merely slower than most; later than the objective it
-    // may as well be gone.
-    return now >= objective_deadline_;
-  }
-  const double shard_fraction = 1.0 / static_cast<double>(shards_.size());
-  return AttainableCoverage() - shard_fraction < gather->min_coverage;
-}
-
-bool request_run::CanHedge(time_point now, const shard& s) const {
-  return route_->retry == retry_rule::kIdempotent && s.pending() &&
-         !s.in_flight.empty() && CanRetry(s) &&
-         (!s.hedged || NeedsAllRemainingShards(now));
-}
-
-time_point request_run::HedgeTime(const shard& s, duration delay) {
-  return s.next_hedge_at.value_or(s.in_flight.front().sent + delay);
-}
-
-void request_run::HedgeLateShards(time_point now,
-                                  shared_request_state& shared,
-                                  actions& out) {
-  const duration delay = HedgeDelay(shared);
-  for (std::size_t index = 0; index < shards_.size(); ++index) {
-    const shard& s = shards_[index];
-    if (CanHedge(now, s) && HedgeTime(s, delay) <= now) {
-      HedgeShard(now, shared, index, out);
-    }
-  }
-}
-
-void request_run::HedgeShard(time_point now,
-                             shared_request_state& shared,
-                             std::size_t index,
-                             actions& out) {
-  shard& s = shards_[index];
-  const duration usual = ExpectedLatency(shared, *route_);
-  if (!s.next_hedge_at.has_value()) {
-    const attempt& late = s.in_flight.front();
-    shared.selector.OnSendLate(now, late.endpoint, late.id, usual);
-  }
-  s.next_hedge_at = now + std::max(kMinHedgeRetryDelay,
-                                   HedgeDelay(shared) / kHedgeRetryDivisor);
-  // If the answer needs this shard, a slow endpoint is better than none.
-  const auto purpose = NeedsAllRemainingShards(now)
-                           ? endpoint_selector::purpose::kFirst
-                           : endpoint_selector::purpose::kHedge;
-  const auto selection =
-      shared.selector.Select(now, shared.registry, s.service, s.tried_endpoints,
-                             usual, TimeLeft(now), purpose);
-  const auto* selected = std::get_if<endpoint_selector::selected>(&selection);
-  if (selected == nullptr) {
-    s.obstacle =
-        std::holds_alternative<endpoint_selector::no_capacity>(selection)
-            ? resend_obstacle::kNoConnection
-            : resend_obstacle::kNoReplica;
-    return;
-  }
-  const double reserve = kRetryReserveFraction *
-                         std::max(0.0, shared.extra_sends.max_balance() - 1);
-  if (!shared.extra_sends.TrySpend(now, s.service, reserve)) {
-    ++counts_.budget_refusals;
-    s.obstacle = resend_obstacle::kBudget;
-    return;
-  }
-  s.hedged = true;
-  ++counts_.hedges;
-  SendTo(now, shared, index, selected->endpoint, out);
-}
-
 std::vector<shard_trouble> request_run::Troubles(std::size_t limit) const {
   std::vector<const shard*> troubled;
   for (const shard& s : shards_) {
@@ -508,143 +397,6 @@
   return out;
 }
 
-double request_run::Coverage() const {
-  return static_cast<double>(counts_.answered) /
-         static_cast<double>(shards_.size());
-}
-
-double request_run::AttainableCoverage() const {
-  const auto failed =
-      std::ranges::count_if(shards_, [](const shard& s) { return s.failed; });
-  return 1.0 -
-         static_cast<double>(failed) / static_cast<double>(shards_.size());
-}
-
-duration request_run::TimeLeft(time_point now) const {
-  return now < objective_deadline_ ? objective_deadline_ - now
-                                   : answer_deadline_ - now;
-}
-
-time_point request_run::CapacityDeadline() const {
-  return arrived_ + route_->objective / kCapacityWaitDivisor;
-}
-
-void request_run::FinishIfDue(time_point now, actions& out) {
-  if (finished_) {
-    return;
-  }
-  if (const auto* gather = std::get_if<gather_target>(&route_->target)) {
-    FinishGatherIfDue(now, *gather, out);
-  } else {
-    FinishRelayIfDue(now, out);
-  }
-  if (!finished_ && now >= answer_deadline_) {
-    Fail(now, reason_code::kDeadlineExceeded, out);
-  }
-  if (!finished_ && counts_.sends == 0 && now >= CapacityDeadline()) {
-    Fail(now, reason_code::kOverloaded, out);
-  }
-}
-
-void request_run::FinishGatherIfDue(time_point now,
-                                    const gather_target& target,
-                                    actions& out) {
-  if (AttainableCoverage() < target.min_coverage || AttainableCoverage() <= 0) {
-    Fail(now,
-         counts_.last_failure == reason_code::kNone
-             ? reason_code::kCoverageTooLow
-             : counts_.last_failure,
-         out);
-    return;
-  }
-  const bool complete =
-      std::ranges::none_of(shards_, [](const shard& s) { return s.pending(); });
-  const bool sufficient =
-      counts_.answered > 0 && Coverage() >= target.min_coverage;
-  // Once the objective is missed, a complete answer is preferred: the request
-  // waits for it up to the length of the objective again.
-  const time_point full_answer_deadline =
-      objective_deadline_ + route_->objective;
-  const bool after_objective =
-      now < full_answer_deadline && now >= objective_deadline_;
-  const bool at_objective =
-      after_objective && now - objective_deadline_ < kCallerNetworkTime;
-  const bool due =
-      at_objective || now >= full_answer_deadline || now >= answer_deadline_;
-  if (complete || (sufficient && due)) {
-    Finish(MergeReplies(target), out);
-  }
-}
-
-void request_run::FinishRelayIfDue(time_point now, actions& out) {
-  shard& only = shards_.front();
-  if (only.reply.has_value()) {
-    Finish(relayed_answer{.response = std::move(only.reply->response),
-                          .stamp = std::move(only.reply->stamp)},
-           out);
-    return;
-  }
-  if (only.failed) {
-    Fail(now, counts_.last_failure, out);
-  }
-}
-
-gathered_answer request_run::MergeReplies(const gather_target& target) const {
-  gathered_answer answer;
-  std::vector<const std::string*> parts;
-  for (const shard& s : shards_) {
-    if (!s.reply.has_value()) {
-      ++answer.missing;
-      continue;
-    }
-    answer.stamps.push_back(s.reply->stamp);
-    parts.push_back(&s.reply->response.body);
-  }
-  answer.records = MergeRecords(parts, target.top_k);
-  return answer;
-}
-
-void request_run::Fail(time_point now, reason_code reason, actions& out) {
-  const bool may_have_run = std::ranges::any_of(shards_, [](const shard& s) {
-    return s.reply.has_value() || !s.in_flight.empty() ||
-           s.worst_verdict != verdict::kNotRun;
-  });
-  // Sends that are only planned cannot have run.
-  if (planning_ || !may_have_run) {
-    Finish(refused_answer{.reason = reason,
-                          .retry_after = RetryAfter(now, reason)},
-           out);
-    return;
-  }
-  const bool is_relay = std::holds_alternative<relay_target>(route_->target);
-  if (is_relay && last_error_reply_.has_value() &&
-      !last_error_reply_->stamp.empty()) {
-    Finish(relayed_answer{.response = std::move(last_error_reply_->response),
-                          .stamp = std::move(last_error_reply_->stamp)},
-           out);
-    return;
-  }
-  Finish(failed_answer{.reason = reason}, out);
-}
-
-duration request_run::RetryAfter(time_point now, reason_code reason) const {
-  std::optional<time_point> usable_at;
-  for (const shard& s : shards_) {
-    if (s.failed && s.usable_at.has_value()) {
-      usable_at = std::max(usable_at.value_or(now), *s.usable_at);
-    }
-  }
-  if (usable_at.has_value()) {
-    return std::max(*usable_at - now, kShedRetryAfter);
-  }
-  return reason == reason_code::kShed ? kShedRetryAfter : kDefaultRetryAfter;
-}
-
-void request_run::Finish(caller_answer answer, actions& out) {
-  finished_ = true;
-  out.emplace_back(finish{std::move(answer)});
-}
-
 void request_run::ScheduleWake(time_point now,
                                const shared_request_state& shared,
                                actions& out) const {
