Draining endpoints get nothing, even as a last resort

The margin allowed for a delay of 2 s; a host cannot know when a drain began.

Change: no last resort.

--- a/src/include/trefoilmill/process/endpoint_registry.h
+++ b/src/include/trefoilmill/process/endpoint_registry.h
@@ -55,9 +55,6 @@
     /// A different endpoint answered at this address, so that no requests may
     /// be sent to it.
     bool address_reused = false;
-    /// Until when a draining endpoint may serve a shard that has no other;
-    /// unset if it is not draining, or if it is unknown since when.
-    std::optional<time_point> last_resort_until;
   };
 
   /// @name Changes to the set of endpoints
@@ -80,9 +77,8 @@
   using changes = std::vector<change>;
   /// @}
 
-  /// Keeps a withdrawn entry for `grace_period` before removing it. For `drain`
-  /// after it began to drain, an endpoint must be expected to serve.
-  endpoint_registry(duration grace_period, duration drain);
+  /// Keeps a withdrawn entry for `grace_period` before removing it.
+  explicit endpoint_registry(duration grace_period);
 
   /// Adds or updates an endpoint that the platform announced. An instance that
   /// was draining stays so whatever a later announcement of it says, as that
@@ -104,9 +100,7 @@
   /// The endpoint itself said that it is leaving, to this host or to another:
   /// the instance that started at `started_ms` counts as draining from now on.
   /// Returns whether that is news.
-  bool MarkLeaving(time_point now,
-                   const endpoint_id& id,
-                   std::uint64_t started_ms);
+  bool MarkLeaving(const endpoint_id& id, std::uint64_t started_ms);
   /// Removes the entries whose removal time has come.
   changes RemoveExpired(time_point now);
 
@@ -129,7 +123,6 @@
   };
 
   duration grace_period_;
-  duration drain_;
   std::map<endpoint_id, departure> departures_;
   std::map<endpoint_id, entry> entries_;
   std::map<service_id, std::set<endpoint_id>> services_;
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -179,7 +179,7 @@
   };
 
   /// Endpoints of a group are used only if there is none of a group before it.
-  enum class candidate_group { kWarm, kCold, kLastResort };
+  enum class candidate_group { kWarm, kCold };
   /// An endpoint that a sub-request may be sent to.
   struct candidate {
     endpoint_id id;
--- a/src/libtrefoilmill/process/endpoint_registry.cc
+++ b/src/libtrefoilmill/process/endpoint_registry.cc
@@ -14,16 +14,11 @@
 
 /// How long delayed announcements of an instance that has left are ignored.
 constexpr duration kDepartureMemory = std::chrono::minutes(2);
-/// How much sooner than its drain time ends a draining endpoint stops serving
-/// as a last resort, so that requests on their way arrive in time.
-constexpr duration kLastResortMargin = std::chrono::milliseconds(1300);
-/// How late this host may learn that an endpoint announced to be draining.
-constexpr duration kAnnouncementDelay = std::chrono::milliseconds(2000);
 
 }  // namespace
 
-endpoint_registry::endpoint_registry(duration grace_period, duration drain)
-    : grace_period_(grace_period), drain_(drain) {}
+endpoint_registry::endpoint_registry(duration grace_period)
+    : grace_period_(grace_period) {}
 
 endpoint_registry::changes endpoint_registry::Put(
     time_point now,
@@ -46,15 +41,8 @@
   const bool same_instance =
       known && IsSameInstance(stored.record, record) && record.started_ms != 0;
   const bool was_draining = known && stored.record.draining;
-  if (!same_instance) {
-    stored.last_resort_until.reset();
-  }
   stored.record = record;
   stored.record.draining = record.draining || (same_instance && was_draining);
-  if (same_instance && record.draining && !was_draining) {
-    stored.last_resort_until =
-        now + drain_ - kLastResortMargin - kAnnouncementDelay;
-  }
   stored.remove_at.reset();
   stored.address_reused = false;
   stored.cold_until.reset();
@@ -107,8 +95,7 @@
   }
 }
 
-bool endpoint_registry::MarkLeaving(time_point now,
-                                    const endpoint_id& id,
+bool endpoint_registry::MarkLeaving(const endpoint_id& id,
                                     std::uint64_t started_ms) {
   const auto found = entries_.find(id);
   if (found == entries_.end() || found->second.record.draining ||
@@ -116,7 +103,6 @@
     return false;
   }
   found->second.record.draining = true;
-  found->second.last_resort_until = now + drain_ - kLastResortMargin;
   return true;
 }
 
--- a/src/libtrefoilmill/process/endpoint_registry_test.cc
+++ b/src/libtrefoilmill/process/endpoint_registry_test.cc
@@ -10,7 +10,6 @@
 
 const service_id test_service("ledger");
 constexpr duration kGracePeriod = milliseconds(2200);
-constexpr duration kDrain = milliseconds(6000);
 
 endpoint_record Record(const std::string& id, std::uint16_t port = 80) {
   return {.id = endpoint_id(id),
@@ -21,7 +20,7 @@
 
 struct fixture {
   time_point now{std::chrono::seconds(1)};
-  endpoint_registry registry{kGracePeriod, kDrain};
+  endpoint_registry registry{kGracePeriod};
 
   bool IsListed(const std::string& id) const {
     return registry.EndpointsOf(test_service).contains(endpoint_id(id));
@@ -126,29 +125,12 @@
   endpoint_record record = Record("a");
   record.started_ms = 7;
   registry.Put(now, record);
-  BOOST_TEST(!registry.MarkLeaving(now, record.id, 6));
-  BOOST_TEST(registry.MarkLeaving(now, record.id, 7));
-  BOOST_TEST(!registry.MarkLeaving(now, record.id, 7));
-  BOOST_TEST(!registry.MarkLeaving(now, endpoint_id("b"), 7));
+  BOOST_TEST(!registry.MarkLeaving(record.id, 6));
+  BOOST_TEST(registry.MarkLeaving(record.id, 7));
+  BOOST_TEST(!registry.MarkLeaving(record.id, 7));
+  BOOST_TEST(!registry.MarkLeaving(endpoint_id("b"), 7));
   const auto* entry = registry.Find(record.id);
   BOOST_TEST(entry->record.draining);
-  BOOST_TEST_REQUIRE(entry->last_resort_until.has_value());
-  BOOST_TEST((*entry->last_resort_until < now + kDrain));
-}
-
-// How long an endpoint that is listed as draining has been so is unknown.
-BOOST_FIXTURE_TEST_CASE(only_an_observed_drain_allows_a_last_resort, fixture) {
-  endpoint_record record = Record("a");
-  record.started_ms = 7;
-  record.draining = true;
-  registry.Put(now, record);
-  BOOST_TEST(!registry.Find(record.id)->last_resort_until.has_value());
-  endpoint_record observed = Record("b");
-  observed.started_ms = 7;
-  registry.Put(now, observed);
-  observed.draining = true;
-  registry.Put(now, observed);
-  BOOST_TEST(registry.Find(observed.id)->last_resort_until.has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(departures_are_forgotten, fixture) {
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -131,11 +131,8 @@
 
 bool endpoint_selector::IsUsable(time_point now,
                                  const endpoint_registry::entry& entry) const {
-  if (entry.address_reused || zones_out_.contains(entry.record.zone)) {
-    return false;
-  }
-  if (entry.record.draining && (!entry.last_resort_until.has_value() ||
-                                *entry.last_resort_until <= now)) {
+  if (entry.record.draining || entry.address_reused ||
+      zones_out_.contains(entry.record.zone)) {
     return false;
   }
   const auto found = stats_.find(entry.record.id);
@@ -154,9 +151,6 @@
 endpoint_selector::candidate_group endpoint_selector::GroupOf(
     time_point now,
     const endpoint_registry::entry& entry) {
-  if (entry.record.draining) {
-    return candidate_group::kLastResort;
-  }
   const bool is_cold = entry.cold_until.has_value() && *entry.cold_until > now;
   return is_cold ? candidate_group::kCold : candidate_group::kWarm;
 }
--- a/src/libtrefoilmill/process/endpoint_selector_test.cc
+++ b/src/libtrefoilmill/process/endpoint_selector_test.cc
@@ -18,7 +18,7 @@
 
 struct fixture {
   time_point now{seconds(1)};
-  endpoint_registry registry{milliseconds(2200), milliseconds(6000)};
+  endpoint_registry registry{milliseconds(2200)};
   endpoint_selector selector{own_zone, std::mt19937_64(7)};
   std::uint64_t attempts = 0;
 
@@ -263,16 +263,13 @@
   BOOST_TEST(returns.size() == 20U);
 }
 
-BOOST_FIXTURE_TEST_CASE(a_leaving_endpoint_serves_only_as_a_last_resort,
-                        fixture) {
-  registry.MarkLeaving(now, endpoint_id("a"), 0);
+// It may have announced that to the store long before, so that it is not known
+// how long it may still be used.
+BOOST_FIXTURE_TEST_CASE(a_leaving_endpoint_serves_not_even_alone, fixture) {
+  registry.MarkLeaving(endpoint_id("a"), 0);
   BOOST_TEST(!CountChoices().contains("a"));
   selector.OnConnectFailed(now, endpoint_id("b"));
   selector.OnConnectFailed(now, endpoint_id("c"));
-  BOOST_TEST(CountChoices().at("a") == 1000);
-  now = *registry.Find(endpoint_id("a"))->last_resort_until;
-  selector.OnConnectFailed(now, endpoint_id("b"));
-  selector.OnConnectFailed(now, endpoint_id("c"));
   BOOST_TEST(CountChoices().empty());
 }
 
--- a/src/libtrefoilmill/request/endpoint_simulation_test.h
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -155,7 +155,7 @@
   }
   shared_request_state SharedState() {
     shared_request_state shared{
-        .registry = endpoint_registry(milliseconds(2200), seconds(6)),
+        .registry = endpoint_registry(milliseconds(2200)),
         .selector =
             endpoint_selector(zone_id("perth"), std::mt19937_64(random_())),
         .extra_sends = extra_send_budget({.ratio = 0.2, .slack = 430}, now_),
--- a/src/libtrefoilmill/request/request_run_fixture_test.h
+++ b/src/libtrefoilmill/request/request_run_fixture_test.h
@@ -20,8 +20,7 @@
 
   time_point now{std::chrono::seconds(1)};
   shared_request_state shared{
-      .registry = endpoint_registry(std::chrono::milliseconds(2200),
-                                    std::chrono::seconds(3)),
+      .registry = endpoint_registry(std::chrono::milliseconds(2200)),
       .selector = endpoint_selector(zone_id("erie"), std::mt19937_64(3)),
       .extra_sends = extra_send_budget({.ratio = 0.2, .slack = 60}, now),
       .latencies = {},
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -53,8 +53,7 @@
 shared_request_state CreateSharedState(const entry_settings& settings,
                                        time_point now) {
   return {
-      .registry =
-          endpoint_registry(VanishedRetention(settings), settings.drain),
+      .registry = endpoint_registry(VanishedRetention(settings)),
       .selector = endpoint_selector(settings.zone,
                                     std::mt19937_64(std::random_device()())),
       .extra_sends = extra_send_budget(settings.extra_sends, now),
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -174,7 +174,7 @@
 
 void entry_process::OnPeerDeparture(const host_id& from,
                                     const endpoint_departure& departure) {
-  if (!shared_state_.registry.MarkLeaving(loop_.Now(), departure.endpoint,
+  if (!shared_state_.registry.MarkLeaving(departure.endpoint,
                                           departure.started_ms)) {
     return;
   }
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -271,8 +271,7 @@
   const time_point now = loop_.Now();
   const auto* entry = shared_state_.registry.Find(endpoint);
   if (notice.leaving && entry != nullptr &&
-      shared_state_.registry.MarkLeaving(now, endpoint,
-                                         entry->record.started_ms)) {
+      shared_state_.registry.MarkLeaving(endpoint, entry->record.started_ms)) {
     telemetry_.log->Info(
         log_message::kEndpointLeaving,
         {.request = request, .endpoint = endpoint, .detail = "own reply"});
