Returned callers' requests wait up to four objectives

A caller that was told to come back keeps 1.4 s and more of 2 s: answering it late serves it better than refusing it for good.

--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -18,7 +18,7 @@
 /// A returned caller's request that is not let in waits for this many
 /// objectives at most: most callers do not come a third time, so that a late
 /// answer is worth more to them than a second refusal.
-constexpr int kMaxDeferralObjectives = 2;
+constexpr int kMaxDeferralObjectives = 4;
 /// How often a deferred request checks whether the load has fallen.
 constexpr duration kDeferralInterval = std::chrono::milliseconds(25);
 /// Minimum time before the answer deadline for a first send or a retry.
