--- a/src/include/trefoilmill/deployment.h
+++ b/src/include/trefoilmill/deployment.h
@@ -116,10 +116,6 @@
   duration probe_timeout = std::chrono::milliseconds(300);
   /// How long a suspect may refute before it counts as dead.
   duration suspicion_timeout = std::chrono::milliseconds(1500);
-  /// Fraction of `suspicion_timeout` by which it grows for each doubling of the
-  /// hosts beyond eight: a refutation takes a round of gossip more to reach
-  /// all.
-  double suspicion_growth = 0;
   int indirect_probes = 3;
   /// Hosts described in one message when a whole table is sent.
   int table_chunk = 128;
--- a/src/include/trefoilmill/membership.h
+++ b/src/include/trefoilmill/membership.h
@@ -66,10 +66,6 @@
 /// from the others detects it within this time.
 duration ProbeResultLifetime(const membership_config& config);
 
-/// How long a suspect may refute in a fleet of `fleet_size` hosts.
-duration SuspicionTimeout(const membership_config& config,
-                          std::size_t fleet_size);
-
 /// Upper bound on the time from a host's failure until its peers declare it
 /// dead.
 duration FailureDetectionTime(const membership_config& config);
--- a/src/libtrefoilmill/membership.cc
+++ b/src/libtrefoilmill/membership.cc
@@ -277,7 +277,7 @@
   suspicions_.erase(id);
   unreachable_since_.erase(id);
   if (merged.state == member_state::kSuspect) {
-    suspicions_[id] = now + SuspicionTimeout(config_, members_.size());
+    suspicions_[id] = now + config_.suspicion_timeout;
   }
   if (!IsReachable(merged.state)) {
     unreachable_since_[id] = now;
--- a/src/libtrefoilmill/membership_probe.cc
+++ b/src/libtrefoilmill/membership_probe.cc
@@ -64,7 +64,7 @@
     return !entry.second.on_behalf_of.has_value();
   });
   for (auto& deadline : suspicions_ | std::views::values) {
-    deadline = now + SuspicionTimeout(config_, members_.size());
+    deadline = now + config_.suspicion_timeout;
   }
 }
 
--- a/src/libtrefoilmill/membership_rules.cc
+++ b/src/libtrefoilmill/membership_rules.cc
@@ -115,17 +115,6 @@
   return 3 * config.probe_interval + 2 * config.probe_timeout;
 }
 
-duration SuspicionTimeout(const membership_config& config,
-                          std::size_t fleet_size) {
-  constexpr double kFleetWithoutGrowth = 8;
-  const double doublings = std::max(
-      0.0, std::log2(static_cast<double>(fleet_size) / kFleetWithoutGrowth));
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double, duration::period>(
-          config.suspicion_timeout) *
-      (1 + config.suspicion_growth * doublings));
-}
-
 duration FailureDetectionTime(const membership_config& config) {
   return ProbeResultLifetime(config) + config.suspicion_timeout;
 }
--- a/src/libtrefoilmill/membership_test.cc
+++ b/src/libtrefoilmill/membership_test.cc
@@ -245,13 +245,4 @@
   BOOST_TEST(dead > 0);
 }
 
-BOOST_AUTO_TEST_CASE(a_suspect_of_a_large_fleet_has_longer_to_refute) {
-  membership_config config;
-  BOOST_TEST((SuspicionTimeout(config, 200) == config.suspicion_timeout));
-  config.suspicion_growth = 0.5;
-  BOOST_TEST((SuspicionTimeout(config, 3) == config.suspicion_timeout));
-  BOOST_TEST((SuspicionTimeout(config, 8) == config.suspicion_timeout));
-  BOOST_TEST((SuspicionTimeout(config, 32) == 2 * config.suspicion_timeout));
-}
-
 }  // namespace trefoilmill
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -21,7 +21,6 @@
   config.probe_interval = std::chrono::milliseconds(500);
   config.probe_timeout = std::chrono::milliseconds(200);
   config.suspicion_timeout = std::chrono::milliseconds(1000);
-  config.suspicion_growth = 0.33;
   // Members per datagram of a table, so that each fits into one packet.
   config.table_chunk = 6;
   return config;
