One or two watchers a zone

Cause: at least four watchers over all zones made all three hosts of a single zone watch, and none was fed (testsuite_platform_path failed: one host leaves the store to its peers). Change: at most two in a zone, as before; large sites have five zones and are not affected.

--- a/src/include/trefoilmill/process/store_watcher_role.h
+++ b/src/include/trefoilmill/process/store_watcher_role.h
@@ -29,6 +29,8 @@
     /// Zones hear of each other's revisions, so that the loss of one zone's
     /// watcher is noticed even before another host of the zone takes over.
     std::size_t min_watchers = 4;
+    /// Designated watchers of one zone, at most.
+    std::size_t max_watchers_per_zone = 2;
     /// Time without a feed after which the first host that is not designated
     /// starts to watch.
     duration takeover_delay = std::chrono::milliseconds(1000);
--- a/src/libtrefoilmill/process/store_watcher_role.cc
+++ b/src/libtrefoilmill/process/store_watcher_role.cc
@@ -29,7 +29,8 @@
                                       std::size_t zones) {
   const std::size_t zone_count = std::max<std::size_t>(zones, 1);
   const std::size_t watchers =
-      (config_.min_watchers + zone_count - 1) / zone_count;
+      std::min(config_.max_watchers_per_zone,
+               (config_.min_watchers + zone_count - 1) / zone_count);
   const std::uint64_t own_score = ScoreOf(self_);
   const auto preceding =
       std::ranges::count_if(hosts, [&](const host_id& other) {
