--- a/src/include/trefoilmill/process/deadline_admission.h
+++ b/src/include/trefoilmill/process/deadline_admission.h
@@ -42,8 +42,9 @@
     bool returned = false;
   };
 
-  /// Returns nullopt to let the request in, else when its caller may return.
-  std::optional<duration> RefuseUntil(const prospect& expected);
+  /// Returns nullopt to let the request in, else the time after which its
+  /// caller may return.
+  std::optional<duration> RetryAfterIfRefused(const prospect& expected);
 
   /// Whether the expected latency leaves enough of the time for all requests to
   /// be let in.
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -220,7 +220,8 @@
   deadline_admission::prospect Prospect(time_point now,
                                         const shared_request_state& shared,
                                         duration time_left) const;
-  /// Whether the caller was refused before, which its remaining time shows.
+  /// Whether the caller was refused before: it has less time left than other
+  /// callers of the route, whose longest wait is recorded here.
   bool HasReturned(time_point now, shared_request_state& shared) const;
   /// Sends every shard's first attempt, or refuses the request if too few
   /// shards have a usable endpoint.
--- a/src/libtrefoilmill/process/deadline_admission.cc
+++ b/src/libtrefoilmill/process/deadline_admission.cc
@@ -57,7 +57,7 @@
   return *last;
 }
 
-std::optional<duration> deadline_admission::RefuseUntil(
+std::optional<duration> deadline_admission::RetryAfterIfRefused(
     const prospect& expected) {
   const auto latency = LatencyForCoverage(expected);
   if (!latency.has_value() || expected.priority == 0) {
--- a/src/libtrefoilmill/process/deadline_admission_test.cc
+++ b/src/libtrefoilmill/process/deadline_admission_test.cc
@@ -26,7 +26,7 @@
   deadline_admission admission(std::mt19937_64(1));
   int admitted = 0;
   for (int request = 0; request < 1000; ++request) {
-    admitted += admission.RefuseUntil(expected).has_value() ? 0 : 1;
+    admitted += admission.RetryAfterIfRefused(expected).has_value() ? 0 : 1;
   }
   return admitted / 1000.0;
 }
@@ -87,7 +87,8 @@
   deadline_admission admission(std::mt19937_64(1));
   std::vector<duration> returns;
   while (returns.size() < 100) {
-    if (const auto at = admission.RefuseUntil(Expect({milliseconds(2000)}))) {
+    if (const auto at =
+            admission.RetryAfterIfRefused(Expect({milliseconds(2000)}))) {
       returns.push_back(*at);
     }
   }
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -107,7 +107,7 @@
   deadline_admission::prospect prospect =
       Prospect(now, shared, objective_deadline_ - now);
   prospect.returned = HasReturned(now, shared);
-  const auto retry_after = shared.admission.RefuseUntil(prospect);
+  const auto retry_after = shared.admission.RetryAfterIfRefused(prospect);
   const time_point defer_until =
       std::min(now + kMaxDeferralObjectives * route_->objective,
                answer_deadline_ - route_->objective);
