--- a/src/libtrefoilmill/process/capacity_queue_test.cc
+++ b/src/libtrefoilmill/process/capacity_queue_test.cc
@@ -9,19 +9,19 @@
 
 using std::chrono::milliseconds;
 
-const service_id kService("s");
+const service_id test_service("s");
 
 struct fixture {
   time_point now{std::chrono::seconds(1)};
   capacity_queue queue;
 
   void Push(std::uint64_t request, int priority, duration time_left) {
-    queue.Push(kService, {.request = request_number(request),
-                          .shard = 0,
-                          .priority = priority,
-                          .objective_deadline = now + time_left});
+    queue.Push(test_service, {.request = request_number(request),
+                              .shard = 0,
+                              .priority = priority,
+                              .objective_deadline = now + time_left});
   }
-  std::uint64_t Pop() { return queue.Pop(now, kService)->request.value(); }
+  std::uint64_t Pop() { return queue.Pop(now, test_service)->request.value(); }
 };
 
 }  // namespace
@@ -33,7 +33,7 @@
   BOOST_TEST(Pop() == 2U);
   BOOST_TEST(Pop() == 3U);
   BOOST_TEST(Pop() == 1U);
-  BOOST_TEST(!queue.Pop(now, kService).has_value());
+  BOOST_TEST(!queue.Pop(now, test_service).has_value());
 }
 
 // Under overload, what has waited longest is late already.
@@ -41,7 +41,7 @@
   Push(1, 1, milliseconds(50));
   now += milliseconds(60);
   Push(2, 2, milliseconds(50));
-  BOOST_TEST(queue.TimelyWaiters(now, kService) == 1U);
+  BOOST_TEST(queue.TimelyWaiters(now, test_service) == 1U);
   BOOST_TEST(Pop() == 2U);
   BOOST_TEST(Pop() == 1U);
 }
@@ -51,7 +51,7 @@
   Push(2, 1, milliseconds(50));
   queue.Remove(request_number(1));
   BOOST_TEST(Pop() == 2U);
-  BOOST_TEST(!queue.Pop(now, kService).has_value());
+  BOOST_TEST(!queue.Pop(now, test_service).has_value());
 }
 
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/request/endpoint_simulation_test.h
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -126,11 +126,11 @@
     int replica = 0;
     double phase = 0;
     int running = 0;
-    std::deque<job> queue = {};
+    std::deque<job> queue;
   };
   struct active_request {
     std::unique_ptr<request_run> run;
-    std::map<attempt_id, endpoint_id> attempts = {};
+    std::map<attempt_id, endpoint_id> attempts;
     std::size_t second = 0;
     time_point first_asked;
     time_point asked;
@@ -139,8 +139,8 @@
   };
   struct host {
     shared_request_state shared;
-    std::map<endpoint_id, int> busy = {};
-    std::map<std::uint64_t, active_request> requests = {};
+    std::map<endpoint_id, int> busy;
+    std::map<std::uint64_t, active_request> requests;
   };
 
   static service_id Service(int shard) {
