--- a/src/trefoilmillctl/common_calls.cc
+++ b/src/trefoilmillctl/common_calls.cc
@@ -120,7 +120,7 @@
     }
     const bool done = count.total > 0 && count.reached == count.total;
     if (done || api.SystemTimeMicros() >= end) {
-      std::cerr << document << " revision " << at << " is in force on "
+      std::cerr << document << " revision " << at.value() << " is in force on "
                 << detail << "\n";
       return done ? exit_code::kDone : exit_code::kNotYet;
     }
--- a/src/trefoilmillctl/config_commands.cc
+++ b/src/trefoilmillctl/config_commands.cc
@@ -30,7 +30,7 @@
   }
   const config_conflict& sides = conflict.value();
   std::cerr << "another change came first; nothing was changed. Revision "
-            << sides.theirs.at << " is in force";
+            << sides.theirs.at.value() << " is in force";
   if (sides.expected.has_value()) {
     std::cerr << ", not " << *sides.expected;
   }
@@ -105,7 +105,7 @@
     std::cout << json{{"revision", at.value()}, {"result", what}}.dump()
               << "\n";
   } else {
-    std::cout << what << ", revision " << at << "\n";
+    std::cout << what << ", revision " << at.value() << "\n";
   }
 }
 
@@ -162,7 +162,7 @@
   }
   const config_reply& reply = *present.reply;
   if (options.revision_only) {
-    std::cout << reply.at << "\n";
+    std::cout << reply.at.value() << "\n";
     return exit_code::kDone;
   }
   std::string text = reply.document;
--- a/src/trefoilmillctl/zone_command.cc
+++ b/src/trefoilmillctl/zone_command.cc
@@ -41,7 +41,7 @@
               << "\n";
   } else {
     std::cout << options.zone << " is declared " << state << ", revision "
-              << at.value() << "\n";
+              << at.value().value() << "\n";
   }
   return options.wait ? WaitInForce(common, api, document_id("zones"),
                                     at.value(), options.wait_limit)
