Stop: log the requests whose callers get no answer

Cause: of four hypotheses for requests lost around a stop the logs could tell none apart; a request whose connection ended left no line at all.

Change: a line for each request that the stop cuts, for each caller that disconnects before its answer (with whether this host closed the connection) and for each answer whose connection closes before it is written; 'process stops' counts connections with unsent answers. Metric trefoilmill_answers_lost_total. No decision changes.

--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -21,6 +21,12 @@
 
 namespace trefoilmill {
 
+/// A response that the server could not deliver.
+struct lost_response {
+  /// Bytes of the response that were not written to the socket.
+  std::size_t unsent_bytes = 0;
+};
+
 /// Sends the response to one request, from within the request handler or later.
 /// Copies refer to the same request; only the first response is sent. If the
 /// last copy is destroyed before that, the client receives status 500. Calls
@@ -42,6 +48,11 @@
   void SendDuplicate(const http_response& response) const;
   /// Sets the task to call if the connection closes before a response is sent.
   void OnPeerDisconnected(std::function<void()> task) const;
+  /// Sets the task to call if the connection closes while part of the response
+  /// is still to be written to the socket. Set it before Send().
+  void OnResponseLost(std::function<void(lost_response)> task) const;
+  /// Whether the server itself has begun to close the connection.
+  bool closed_by_server() const;
   /// Identifier of the connection, unique within the process.
   std::uint64_t connection() const;
 
@@ -100,6 +111,9 @@
   std::size_t open_connections() const;
   /// Number of requests passed to the handler that have no response yet.
   std::size_t requests_in_progress() const;
+  /// Number of connections with response bytes that are not written to the
+  /// socket yet.
+  std::size_t unsent_connections() const;
 
   /// Sets a filter to call for each new connection; if it returns false, the
   /// connection is closed at once.
--- a/src/include/trefoilmill/net/metrics.h
+++ b/src/include/trefoilmill/net/metrics.h
@@ -49,6 +49,7 @@
   kLoopDelay,
   kCallerRequests,
   kCallerRequestDuration,
+  kAnswersLost,
   kEndpointSends,
   kSendBudgetRefusals,
   kEndpointsKnown,
--- a/src/libtmnet/http_responder.cc
+++ b/src/libtmnet/http_responder.cc
@@ -86,6 +86,7 @@
   const bool close_connection =
       truncate_to_bytes || server->close_after_responses;
   on_peer_disconnected = nullptr;
+  connection->on_response_lost = std::exchange(on_response_lost, nullptr);
   MarkCompleted();
   StopWatchingForClose();
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
@@ -157,6 +158,15 @@
   impl_->on_peer_disconnected = std::move(task);
 }
 
+void http_responder::OnResponseLost(
+    std::function<void(lost_response)> task) const {
+  impl_->on_response_lost = std::move(task);
+}
+
+bool http_responder::closed_by_server() const {
+  return impl_->connection->closed_by_server;
+}
+
 std::uint64_t http_responder::connection() const {
   return impl_->connection->id;
 }
--- a/src/libtmnet/http_responder_impl.h
+++ b/src/libtmnet/http_responder_impl.h
@@ -36,11 +36,15 @@
   /// Set once the server has closed the connection; requests that evhttp still
   /// reads from it are not handled.
   bool reject_requests = false;
+  /// Set once the server has begun to close the connection.
+  bool closed_by_server = false;
   /// Set while the server itself writes to the output buffer; all other output
   /// comes from evhttp.
   bool writing_response = false;
   /// The latest request; expired once its last responder is destroyed.
   std::weak_ptr<http_responder::impl> current_request;
+  /// Called if the connection closes before the latest response is written.
+  std::function<void(lost_response)> on_response_lost;
 };
 
 /// State of one request on the server side.
@@ -55,6 +59,7 @@
   bufferevent_event_cb event_cb = nullptr;
   void* cb_arg = nullptr;
   std::function<void()> on_peer_disconnected;
+  std::function<void(lost_response)> on_response_lost;
 
   impl() = default;
   impl(const impl&) = delete;
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -150,6 +150,12 @@
   if (const auto request = connection->current_request.lock()) {
     request->HandleConnectionClosed();
   }
+  const std::size_t unsent =
+      evbuffer_get_length(bufferevent_get_output(connection->bev));
+  if (const auto task = std::exchange(connection->on_response_lost, nullptr);
+      task != nullptr && unsent > 0) {
+    task({.unsent_bytes = unsent});
+  }
   if (server->on_closed) {
     server->on_closed();
   }
@@ -218,6 +224,7 @@
   responder->connection = found->second;
   responder->evreq = evreq;
   found->second->current_request = responder;
+  found->second->on_response_lost = nullptr;
   ++state->requests_in_progress;
   responder->WatchForClose();
 
@@ -320,6 +327,7 @@
     if (connection->current_request.expired() &&
         evbuffer_get_length(bufferevent_get_input(connection->bev)) == 0 &&
         evbuffer_get_length(bufferevent_get_output(connection->bev)) == 0) {
+      connection->closed_by_server = true;
       shutdown(bufferevent_getfd(connection->bev), SHUT_RDWR);
     }
   }
@@ -344,6 +352,14 @@
   return impl_->state->requests_in_progress;
 }
 
+std::size_t http_server::unsent_connections() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(impl_->connections, [](const auto& entry) {
+        return evbuffer_get_length(bufferevent_get_output(entry.second->bev)) >
+               0;
+      }));
+}
+
 void http_server::SetAcceptFilter(std::function<bool()> accept_filter) {
   impl_->accept_filter = std::move(accept_filter);
 }
@@ -356,6 +372,7 @@
   // The event loop then detects the end of each connection and frees it.
   for (const auto& [evcon, connection] : impl_->connections) {
     connection->reject_requests = true;
+    connection->closed_by_server = true;
     shutdown(bufferevent_getfd(connection->bev), SHUT_RDWR);
   }
 }
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -335,10 +335,13 @@
 
 void entry_process::StopProcess() {
   peers_->AnnounceStop();
+  requests_->LogUnanswered();
   telemetry_.log->Info(
       "process stops",
-      {.inputs = {{"unanswered",
-                   static_cast<std::int64_t>(requests_->unanswered())}}});
+      {.inputs = {
+           {"unanswered", static_cast<std::int64_t>(requests_->unanswered())},
+           {"unsent_connections",
+            static_cast<std::int64_t>(caller_server_->unsent_connections())}}});
   telemetry_.log->Flush();
   loop_.Stop();
 }
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -139,6 +139,8 @@
   ++unanswered_;
   responder.OnPeerDisconnected(
       [this, number] { OnCallerDisconnected(number); });
+  responder.OnResponseLost(
+      [this, id = active.id](lost_response lost) { OnAnswerLost(id, lost); });
   RunActions(number, active.run.Start(now, shared_state_));
   EraseIfFinished(number);
 }
@@ -320,6 +322,7 @@
     active.run.OnCallerDisconnected();
     shared_state_.waiting.Remove(number);
     telemetry_.meter->Increment(metric::kCallerRequests, {"gone"});
+    LogDisconnected(active);
   }
   active.wake_timer = timer();
   // Attempts that must not run twice are left to finish: aborting one would not
@@ -331,6 +334,40 @@
   loop_.Post([this, number] { EraseIfFinished(number); });
 }
 
+void request_handler::LogDisconnected(const active_request& active) {
+  telemetry_.log->Info(
+      "caller disconnected before its answer",
+      {.request = active.id,
+       .inputs = {
+           {"took_us", (loop_.Now() - active.arrived).count()},
+           {"in_flight", static_cast<std::int64_t>(active.attempts.size())},
+           {"closed_by_this_host",
+            active.responder.closed_by_server() ? 1 : 0}}});
+}
+
+void request_handler::LogUnanswered() {
+  for (const auto& active : active_requests_ | std::views::values) {
+    if (active->answered) {
+      continue;
+    }
+    telemetry_.log->Warning(
+        "request cut by the stop",
+        {.request = active->id,
+         .inputs = {{"route", active->run.matched().id.value()},
+                    {"took_us", (loop_.Now() - active->arrived).count()},
+                    {"in_flight",
+                     static_cast<std::int64_t>(active->attempts.size())}}});
+  }
+}
+
+void request_handler::OnAnswerLost(const request_id& id, lost_response lost) {
+  telemetry_.meter->Increment(metric::kAnswersLost);
+  telemetry_.log->Info("answer lost with the caller's connection",
+                       {.request = id,
+                        .inputs = {{"unsent_bytes", static_cast<std::int64_t>(
+                                                        lost.unsent_bytes)}}});
+}
+
 void request_handler::AbortAttempts(request_number number) {
   const auto found = active_requests_.find(number);
   if (found == active_requests_.end()) {
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -51,6 +51,8 @@
 
   /// Number of requests that have no answer yet.
   std::size_t unanswered() const { return unanswered_; }
+  /// Logs each request that has no answer yet, as the process stops now.
+  void LogUnanswered();
 
  private:
   struct active_request;
@@ -83,9 +85,12 @@
                    const endpoint_id& endpoint,
                    const http_response& reply);
   void OnCallerDisconnected(request_number number);
+  void LogDisconnected(const active_request& active);
   void AbortAttempts(request_number number);
   /// Erases a request that is answered and has no attempt in flight.
   void EraseIfFinished(request_number number);
+  /// Logs an answer whose connection closed before all of it was written.
+  void OnAnswerLost(const request_id& id, lost_response lost);
   /// Counts an answer, and logs it if it is late or incomplete.
   void RecordAnswer(const active_request& active, const caller_answer& answer);
 
