Test: requests lost around a stop, with real processes (fails)

Callers, endpoints and hosts are processes of their own; the check reads only what callers and endpoints saw.

--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -61,7 +61,8 @@
 class Host:
     """One entry process."""
 
-    def __init__(self, network, number):
+    def __init__(self, network, number, **changes):
+        """`changes` replace settings."""
         self.ip = f"{network}.1.{number}"
         self.name = f"front-{number}"
         settings = {
@@ -70,7 +71,7 @@
             "directory": f"{self.ip}:{DIRECTORY}", "peer_port": PEERS,
             "store": f"{network}.0.1:{STORE_PORT}",
             "seeds": [f"{network}.1.1:8224", f"{network}.1.2:8224"],
-            "grace_s": 3, "drain_ms": 3000}
+            "grace_s": 3, "drain_ms": 3000} | changes
         file = tempfile.NamedTemporaryFile("w", suffix=".jsonc", delete=False)
         with file:
             file.write("// a comment\n" + json.dumps(settings))
--- /dev/null
+++ b/scripts/lib/soak_callers.py
@@ -0,0 +1,160 @@
+"""Callers of a soak, all in one process. Each keeps one connection and goes on
+using its host until nothing listens there any more, whatever the directory
+says. Every attempt is recorded as one JSON line."""
+
+import asyncio
+import dataclasses
+import http.client
+import json
+import multiprocessing
+import random
+import socket
+import time
+
+import aiohttp
+
+# How long a caller stays away from a host that refused a connection.
+AVOID_S = 0.5
+# Of a caller that reads slowly: its receive buffer, and how much it reads at once.
+RECEIVE_BUFFER_BYTES = 8192
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestKind:
+    """Requests on one route."""
+    name: str
+    path: str
+    deadline_s: float
+    # Longest pause between an answer and the next request.
+    pause_s: float
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One request of a caller, as its socket saw it."""
+    id: str
+    kind: str
+    host: str
+    # When the attempt began, and when the request had left; 0 if it did not.
+    began: float
+    sent: float = 0.0
+    ended: float = 0.0
+    status: int = 0
+    headers: dict = dataclasses.field(default_factory=dict)
+    # "answer", "not_connected", "closed" (no or no whole answer), "deadline".
+    end: str = "closed"
+
+
+def _note_sent():
+    """Notes in each attempt when its request was written to the socket."""
+    async def on_headers_sent(_session, context, _parameters):
+        context.trace_request_ctx.sent = time.monotonic()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(on_headers_sent)
+    return trace
+
+
+def request_headers(identity, kind):
+    return {"Host": "shop.example", "Trefoilmill-Request-Id": identity,
+            "Trefoilmill-Deadline-Ms": str(int(1000 * kind.deadline_s))}
+
+
+def read_slowly(host, port, kind, identity, read_s):
+    """One attempt whose answer is read in small steps over `read_s` seconds."""
+    attempt = Attempt(identity, kind.name, host, time.monotonic())
+    connection = http.client.HTTPConnection(host, port)
+    connection.sock = socket.socket()
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                               RECEIVE_BUFFER_BYTES)
+    try:
+        connection.sock.connect((host, port))
+        connection.request("GET", kind.path,
+                           headers=request_headers(identity, kind))
+        attempt.sent = time.monotonic()
+        reply = connection.getresponse()
+        attempt.status = reply.status
+        attempt.headers = dict(reply.getheaders())
+        steps = max(1, reply.length // READ_BYTES)
+        while reply.length:
+            if not reply.read(min(READ_BYTES, reply.length)):
+                raise http.client.IncompleteRead(b"", reply.length)
+            time.sleep(read_s / steps)
+        attempt.end = "answer"
+    except ConnectionRefusedError:
+        attempt.end = "not_connected"
+    except (http.client.HTTPException, OSError):
+        attempt.end = "closed"
+    finally:
+        connection.close()
+    attempt.ended = time.monotonic()
+    return dataclasses.asdict(attempt)
+
+
+class Callers:
+    """The process of `count` callers; each keeps to one kind of request."""
+
+    def __init__(self, hosts, port, kinds, count, seed, record_file):
+        self._hosts = hosts
+        self._port = port
+        self._kinds = kinds
+        self._count = count
+        self._seed = seed
+        self._record_file = record_file
+        self._stopping = multiprocessing.Event()
+        self.process = multiprocessing.Process(target=self._run, daemon=True)
+
+    def start(self):
+        self.process.start()
+
+    def stop(self):
+        """Lets each caller end its last request."""
+        self._stopping.set()
+        self.process.join()
+
+    def _run(self):
+        asyncio.run(self._call())
+
+    async def _call(self):
+        with open(self._record_file, "a", buffering=1) as self._records:
+            await asyncio.gather(*(self._caller(n)
+                                   for n in range(self._count)))
+
+    async def _caller(self, number):
+        rng = random.Random(f"{self._seed}/{number}")
+        kind = self._kinds[number % len(self._kinds)]
+        host = self._hosts[number % len(self._hosts)]
+        connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
+        async with aiohttp.ClientSession(
+                connector=connector, trace_configs=[_note_sent()]) as session:
+            while not self._stopping.is_set():
+                identity = f"{rng.getrandbits(64):016x}"
+                attempt = await self._attempt(session, identity, kind, host)
+                self._records.write(
+                    json.dumps(dataclasses.asdict(attempt)) + "\n")
+                if attempt.end == "not_connected":
+                    host = rng.choice([h for h in self._hosts if h != host])
+                    await asyncio.sleep(rng.uniform(0, AVOID_S))
+                await asyncio.sleep(rng.uniform(0, kind.pause_s))
+
+    async def _attempt(self, session, identity, kind, host):
+        attempt = Attempt(identity, kind.name, host, time.monotonic())
+        try:
+            async with session.get(
+                    f"http://{host}:{self._port}{kind.path}",
+                    headers=request_headers(identity, kind),
+                    timeout=aiohttp.ClientTimeout(kind.deadline_s),
+                    trace_request_ctx=attempt) as reply:
+                attempt.status = reply.status
+                attempt.headers = dict(reply.headers)
+                await reply.read()
+                attempt.end = "answer"
+        except aiohttp.ClientConnectorError:
+            attempt.end = "not_connected"
+        except asyncio.TimeoutError:
+            attempt.end = "deadline"
+        except (aiohttp.ClientError, OSError):
+            attempt.end = "closed"
+        attempt.ended = time.monotonic()
+        return attempt
