http_server: a request that meets the idle close is answered or not handled

Cause: 1.5 s before the end of the grace time idle connections are shut down in both directions. What the kernel had received before can still be read after shutdown(): the process read the request, passed it on, and had no way left to answer. The later the loop runs, the more requests wait in the kernel at that moment.

Change: a connection is idle only if neither evhttp nor the kernel holds bytes of a request, and a new one gets 100 ms for its first request. What is read from a connection after the server began to close it is not handled (until now only CloseAllConnections() did so; one flag in place of two).

--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -102,9 +102,11 @@
                  duration idle_timeout);
   /// Adds `Connection: close` to all responses from now on.
   void CloseAfterResponses();
-  /// Closes connections that have no request in progress and no buffered input
-  /// or output.
-  void CloseIdleConnections();
+  /// Closes connections that have no request in progress, no part of one
+  /// received and no response to write. A new connection gets a moment to send
+  /// its first request. Requests that arrive on a connection afterwards are not
+  /// handled, since they could not be answered.
+  void CloseIdleConnections(time_point now);
   /// Closes the listening socket; established connections stay open.
   void StopAccepting();
   /// Number of established connections.
--- a/src/libtmnet/http_common.cc
+++ b/src/libtmnet/http_common.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <cstdlib>
 #include <utility>
 
@@ -79,6 +80,16 @@
              sizeof user_timeout_ms);
 }
 
+peek_result PeekSocket(evutil_socket_t fd) {
+  char byte = 0;
+  const ssize_t count = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) {
+    return peek_result::kData;
+  }
+  const bool would_block = count < 0 && (errno == EAGAIN || errno == EINTR);
+  return would_block ? peek_result::kNothing : peek_result::kClosed;
+}
+
 std::string CopyBuffer(evbuffer* buffer) {
   std::string copy(evbuffer_get_length(buffer), '\0');
   evbuffer_copyout(buffer, copy.data(), copy.size());
--- a/src/libtmnet/http_common.h
+++ b/src/libtmnet/http_common.h
@@ -22,6 +22,11 @@
 /// rounded to whole seconds.
 void SetDeadPeerTimeout(evutil_socket_t fd, duration timeout);
 
+/// What a read from a socket would find.
+enum class peek_result { kNothing, kData, kClosed };
+/// Looks at the socket's receive buffer without reading from it.
+peek_result PeekSocket(evutil_socket_t fd);
+
 /// Copies the content of `buffer` without draining it.
 std::string CopyBuffer(evbuffer* buffer);
 
--- a/src/libtmnet/http_connection.cc
+++ b/src/libtmnet/http_connection.cc
@@ -62,10 +62,7 @@
   if (evbuffer_get_length(bufferevent_get_input(bev)) > 0) {
     return false;
   }
-  char byte = 0;
-  const ssize_t count =
-      recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EINTR);
+  return PeekSocket(bufferevent_getfd(bev)) == peek_result::kNothing;
 }
 
 // Sets the headers and body of `evreq`. If `request` has a target, its headers
--- a/src/libtmnet/http_passthrough_test.cc
+++ b/src/libtmnet/http_passthrough_test.cc
@@ -110,7 +110,7 @@
     return idle_open && responders.size() == 1 &&
            server.value()->open_connections() == 2;
   }));
-  server.value()->CloseIdleConnections();
+  server.value()->CloseIdleConnections(loop->Now() + seconds(10));
   BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return idle_closed; }));
   responders.front().Send({.status = 200});
   BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return exchange.has_value(); }));
--- a/src/libtmnet/http_responder.cc
+++ b/src/libtmnet/http_responder.cc
@@ -87,6 +87,9 @@
       truncate_to_bytes || server->close_after_responses;
   on_peer_disconnected = nullptr;
   connection->on_response_lost = std::exchange(on_response_lost, nullptr);
+  // Bytes of a pipelined request are in the buffer already.
+  connection->request_begun =
+      evbuffer_get_length(bufferevent_get_input(connection->bev)) > 0;
   MarkCompleted();
   StopWatchingForClose();
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
--- a/src/libtmnet/http_responder_impl.h
+++ b/src/libtmnet/http_responder_impl.h
@@ -33,10 +33,15 @@
   std::uint64_t id = 0;
   bufferevent* bev = nullptr;
   evhttp_connection* evcon = nullptr;
-  /// Set once the server has closed the connection; requests that evhttp still
-  /// reads from it are not handled.
-  bool reject_requests = false;
-  /// Set once the server has begun to close the connection.
+  /// When the connection was accepted.
+  time_point accepted_at;
+  /// Whether part of a request has arrived since the latest response, or since
+  /// the connection was accepted.
+  bool request_begun = false;
+  /// Whether a request was ever handled.
+  bool has_served = false;
+  /// Set once the server has begun to close the connection; requests that
+  /// evhttp still reads from it are not handled.
   bool closed_by_server = false;
   /// Set while the server itself writes to the output buffer; all other output
   /// comes from evhttp.
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -28,6 +28,8 @@
 // of the response.
 constexpr ev_ssize_t kEvhttpLimitFactor = 4;
 constexpr std::uint16_t kAllMethods = 0xffff;
+// How long a new connection is not idle though it has sent nothing yet.
+constexpr duration kFirstRequestTime = std::chrono::milliseconds(100);
 // Length of a status line up to the status code, as in "HTTP/1.1 400", and the
 // offset of the code in it.
 constexpr std::size_t kStatusLinePrefixBytes = 12;
@@ -93,6 +95,11 @@
   static void OnOutputChanged(evbuffer* output,
                               const evbuffer_cb_info* change,
                               void* self);
+  static void OnInputChanged(evbuffer* input,
+                             const evbuffer_cb_info* change,
+                             void* self);
+  /// Whether the connection may be closed without cutting off a request.
+  static bool IsIdle(const server_connection& connection, time_point now);
   void RegisterConnection(bufferevent* bev);
   void DispatchRequest(evhttp_request* evreq);
   void ApplyLimits();
@@ -129,10 +136,12 @@
   auto* evcon = static_cast<evhttp_connection*>(arg);
   static std::uint64_t last_id = 0;
   auto& connection = connections[evcon];
-  connection = std::make_shared<server_connection>(
-      server_connection{.id = ++last_id, .bev = bev, .evcon = evcon});
+  connection = std::make_shared<server_connection>(server_connection{
+      .id = ++last_id, .bev = bev, .evcon = evcon, .accepted_at = loop.Now()});
   evbuffer_add_cb(bufferevent_get_output(bev), &impl::OnOutputChanged,
                   connection.get());
+  evbuffer_add_cb(bufferevent_get_input(bev), &impl::OnInputChanged,
+                  connection.get());
   evhttp_connection_set_closecb(evcon, &impl::OnConnectionClosed, this);
 }
 
@@ -147,6 +156,8 @@
   server->connections.erase(found);
   evbuffer_remove_cb(bufferevent_get_output(connection->bev),
                      &impl::OnOutputChanged, connection.get());
+  evbuffer_remove_cb(bufferevent_get_input(connection->bev),
+                     &impl::OnInputChanged, connection.get());
   if (const auto request = connection->current_request.lock()) {
     request->HandleConnectionClosed();
   }
@@ -193,6 +204,24 @@
   connection->writing_response = false;
 }
 
+void http_server::impl::OnInputChanged(evbuffer* /*input*/,
+                                       const evbuffer_cb_info* change,
+                                       void* self) {
+  if (change->n_added > 0) {
+    static_cast<server_connection*>(self)->request_begun = true;
+  }
+}
+
+bool http_server::impl::IsIdle(const server_connection& connection,
+                               time_point now) {
+  const bool is_new = !connection.has_served &&
+                      now - connection.accepted_at < kFirstRequestTime;
+  return !is_new && !connection.request_begun &&
+         connection.current_request.expired() &&
+         evbuffer_get_length(bufferevent_get_output(connection.bev)) == 0 &&
+         PeekSocket(bufferevent_getfd(connection.bev)) != peek_result::kData;
+}
+
 void http_server::impl::OnRequest(evhttp_request* evreq, void* self) {
   static_cast<impl*>(self)->DispatchRequest(evreq);
 }
@@ -215,7 +244,7 @@
 void http_server::impl::DispatchRequest(evhttp_request* evreq) {
   evhttp_connection* evcon = evhttp_request_get_connection(evreq);
   const auto found = connections.find(evcon);
-  if (found == connections.end() || found->second->reject_requests) {
+  if (found == connections.end() || found->second->closed_by_server) {
     evhttp_send_error(evreq, HTTP_INTERNAL, nullptr);
     return;
   }
@@ -224,6 +253,7 @@
   responder->connection = found->second;
   responder->evreq = evreq;
   found->second->current_request = responder;
+  found->second->has_served = true;
   found->second->on_response_lost = nullptr;
   ++state->requests_in_progress;
   responder->WatchForClose();
@@ -320,13 +350,11 @@
   impl_->ApplyLimits();
 }
 
-void http_server::CloseIdleConnections() {
-  // Bytes still in the kernel's socket buffer are not considered: they belong
-  // to a request that was sent while the server was closing the connection.
+void http_server::CloseIdleConnections(time_point now) {
+  // What the kernel received before shutdown() can still be read after it, so
+  // `closed_by_server` has to keep such a request from being handled.
   for (const auto& [evcon, connection] : impl_->connections) {
-    if (connection->current_request.expired() &&
-        evbuffer_get_length(bufferevent_get_input(connection->bev)) == 0 &&
-        evbuffer_get_length(bufferevent_get_output(connection->bev)) == 0) {
+    if (impl::IsIdle(*connection, now)) {
       connection->closed_by_server = true;
       shutdown(bufferevent_getfd(connection->bev), SHUT_RDWR);
     }
@@ -371,7 +399,6 @@
 void http_server::CloseAllConnections() {
   // The event loop then detects the end of each connection and frees it.
   for (const auto& [evcon, connection] : impl_->connections) {
-    connection->reject_requests = true;
     connection->closed_by_server = true;
     shutdown(bufferevent_getfd(connection->bev), SHUT_RDWR);
   }
--- /dev/null
+++ b/src/libtmnet/http_server_stop_test.cc
@@ -0,0 +1,139 @@
+/// How a server closes its connections when its process stops: every request
+/// that is handled gets its whole response.
+#define BOOST_TEST_MODULE http_server_stop
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "net_test_support.h"
+#include "trefoilmill/net/http.h"
+
+namespace trefoilmill {
+namespace {
+
+constexpr const char* kRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+/// Larger than what the kernel buffers for a connection.
+constexpr std::size_t kLargeBodyBytes = 32 << 20;
+/// Longer than the server waits for the first request of a connection.
+constexpr duration kLongIdle = std::chrono::seconds(1);
+
+struct fixture {
+  std::unique_ptr<event_loop> loop = MakeLoop();
+  int handled = 0;
+  http_response response{.status = 200, .body = "whole"};
+  std::unique_ptr<http_server> server;
+
+  fixture() {
+    auto listening = http_server::Listen(
+        *loop, {kTestIp, 0}, {},
+        [this](const http_request&, const http_responder& responder) {
+          ++handled;
+          responder.Send(response);
+        });
+    server = std::move(listening).value();
+  }
+  /// Runs the loop until the server has accepted `count` connections.
+  void WaitForConnections(std::size_t count) {
+    BOOST_TEST_REQUIRE(
+        RunUntil(*loop, [&] { return server->open_connections() == count; }));
+  }
+  void CloseIdle(duration idle) {
+    server->CloseIdleConnections(loop->Now() + idle);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_request_received_before_the_idle_close_is_answered,
+                        fixture) {
+  socket_client client(server->port());
+  WaitForConnections(1);
+  client.Send(kRequest);
+  CloseIdle(kLongIdle);
+  BOOST_TEST(RunUntil(*loop, [&] {
+    return client.Receive().find("whole") != std::string::npos;
+  }));
+  BOOST_TEST(handled == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_meets_the_close_is_not_handled,
+                        fixture) {
+  socket_client client(server->port());
+  WaitForConnections(1);
+  CloseIdle(kLongIdle);
+  client.Send(kRequest);
+  BOOST_TEST(RunUntil(*loop, [&] { return server->open_connections() == 0; }));
+  BOOST_TEST(handled == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_has_begun_is_not_cut, fixture) {
+  socket_client client(server->port());
+  WaitForConnections(1);
+  client.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
+  RunFor(*loop, std::chrono::milliseconds(20));
+  CloseIdle(kLongIdle);
+  client.Send("body");
+  BOOST_TEST(RunUntil(*loop, [&] {
+    return client.Receive().find("whole") != std::string::npos;
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_new_connection_may_send_its_first_request, fixture) {
+  socket_client client(server->port());
+  WaitForConnections(1);
+  CloseIdle(duration::zero());
+  RunFor(*loop, std::chrono::milliseconds(20));
+  client.Send(kRequest);
+  BOOST_TEST(RunUntil(*loop, [&] {
+    return client.Receive().find("whole") != std::string::npos;
+  }));
+  // It is no longer new now.
+  CloseIdle(duration::zero());
+  BOOST_TEST(RunUntil(*loop, [&] { return server->open_connections() == 0; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_connection_stays_open_until_its_response_is_written,
+                        fixture) {
+  response.body = std::string(kLargeBodyBytes, 'x');
+  server->CloseAfterResponses();
+  socket_client client(server->port());
+  WaitForConnections(1);
+  client.Send(kRequest);
+  BOOST_TEST(RunUntil(*loop, [&] { return handled == 1; }));
+  RunFor(*loop, std::chrono::milliseconds(20));
+  BOOST_TEST(server->requests_in_progress() == 0U);
+  BOOST_TEST(server->unsent_connections() == 1U);
+  CloseIdle(kLongIdle);
+  BOOST_TEST(server->open_connections() == 1U);
+  BOOST_TEST(RunUntil(*loop, [&] {
+    client.Receive();
+    return server->open_connections() == 0;
+  }));
+  BOOST_TEST(server->unsent_connections() == 0U);
+  BOOST_TEST(client.Receive().size() > kLargeBodyBytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_response_lost_with_its_connection_is_reported,
+                        fixture) {
+  std::size_t unsent_bytes = 0;
+  std::vector<http_responder> responders;
+  auto holding = http_server::Listen(
+      *loop, {kTestIp, 0}, {},
+      [&](const http_request&, const http_responder& responder) {
+        responder.OnResponseLost(
+            [&](lost_response lost) { unsent_bytes = lost.unsent_bytes; });
+        responder.Send({.body = std::string(kLargeBodyBytes, 'x')});
+        responders.push_back(responder);
+      });
+  {
+    socket_client client(holding.value()->port());
+    client.Send(kRequest);
+    BOOST_TEST(RunUntil(*loop, [&] { return !responders.empty(); }));
+    RunFor(*loop, std::chrono::milliseconds(20));
+    BOOST_TEST(unsent_bytes == 0U);
+  }
+  BOOST_TEST(RunUntil(*loop, [&] { return unsent_bytes > 0; }));
+  BOOST_TEST(!responders.front().closed_by_server());
+}
+
+}  // namespace trefoilmill
--- a/src/libtmnet/net_test_support.h
+++ b/src/libtmnet/net_test_support.h
@@ -163,6 +163,41 @@
   int accepted_count_ = 0;
 };
 
+/// TCP client without an event loop: what it sends is in the server's socket
+/// buffer at once, before the server's loop runs.
+class socket_client {
+ public:
+  /// Connects to kTestIp at `port`; throws std::runtime_error if that fails.
+  explicit socket_client(std::uint16_t port)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in address = TestSockaddr(port);
+    if (connect(fd_, reinterpret_cast<const sockaddr*>(&address),
+                sizeof address) != 0) {
+      throw std::runtime_error("socket_client: cannot connect");
+    }
+  }
+  socket_client(const socket_client&) = delete;
+  socket_client& operator=(const socket_client&) = delete;
+  ~socket_client() { close(fd_); }
+
+  void Send(const std::string& bytes) const {
+    send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  /// Reads what has arrived; returns all bytes received so far.
+  const std::string& Receive() {
+    std::string chunk(1 << 20, '\0');
+    const ssize_t size = recv(fd_, chunk.data(), chunk.size(), MSG_DONTWAIT);
+    if (size > 0) {
+      received_.append(chunk, 0, static_cast<std::size_t>(size));
+    }
+    return received_;
+  }
+
+ private:
+  int fd_;
+  std::string received_;
+};
+
 /// TCP client that sends raw bytes and records what it receives.
 class raw_client {
  public:
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -322,7 +322,7 @@
 }
 
 void entry_process::StopWhenIdle() {
-  caller_server_->CloseIdleConnections();
+  caller_server_->CloseIdleConnections(loop_.Now());
   const bool idle = requests_->unanswered() == 0 &&
                     caller_server_->requests_in_progress() == 0;
   if (idle || loop_.Now() >= stop_deadline_) {
