Planned stop: the process ends when every answer is written

Cause: a request counted as done once its answer was in the connection's output buffer. The check for idleness could end the process before the loop had written the buffer, or while a caller still read.

Change: the process ends when no connection of a caller is open, and a connection with unwritten bytes is not closed. The steps of a stop are a value of their own (stop_schedule, with shares of a short grace time), carried out by planned_stop; entry_process only announces.

--- /dev/null
+++ b/src/include/trefoilmill/process/stop_schedule.h
@@ -0,0 +1,29 @@
+/// When a host that was told to stop does what within its grace time.
+///
+/// Callers come until the host stops accepting connections, and each request
+/// that it takes has to be answered before the process ends: a request that is
+/// cut off may have run, and its caller cannot know.
+#ifndef TREFOILMILL_PROCESS_STOP_SCHEDULE_H_
+#define TREFOILMILL_PROCESS_STOP_SCHEDULE_H_
+
+#include "trefoilmill/time.h"
+
+namespace trefoilmill {
+
+struct stop_schedule {
+  /// Connections are accepted until then, and idle ones closed from then on.
+  time_point accept_until;
+  /// Every request is answered by then, if need be without its endpoints'
+  /// replies.
+  time_point answer_by;
+  /// The process ends by then, even if answers are still being written.
+  time_point end_by;
+
+  /// The schedule of a host that was told at `told` and is killed after
+  /// `grace`.
+  static stop_schedule Create(time_point told, duration grace);
+};
+
+}  // namespace trefoilmill
+
+#endif  // TREFOILMILL_PROCESS_STOP_SCHEDULE_H_
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -32,14 +32,6 @@
 constexpr duration kDirectoryTtl = std::chrono::seconds(1);
 /// Most addresses in one directory response.
 constexpr int kMaxDirectoryAddresses = 64;
-/// How long before the end of the grace time the process stops accepting
-/// connections.
-constexpr duration kStopAcceptingMargin = std::chrono::milliseconds(1500);
-/// How long before the end of the grace time the process stops even if requests
-/// are in progress.
-constexpr duration kStopMargin = std::chrono::milliseconds(300);
-/// How often a process that shuts down checks for requests in progress.
-constexpr duration kIdleCheckInterval = std::chrono::milliseconds(50);
 /// Limit for the log lines of each message, per second.
 constexpr int kLogLinesPerSecond = 10;
 
@@ -132,6 +124,9 @@
   if (!listening.has_value()) {
     return listening.error();
   }
+  process->stop_ = std::make_unique<planned_stop>(
+      loop, *process->caller_server_, *process->requests_,
+      [self] { self->StopProcess(); });
   auto peers = peer_gossip::Create(
       loop, settings, *process->store_, process->shared_state_.selector,
       process->telemetry_,
@@ -212,7 +207,7 @@
 }
 
 bool entry_process::is_ready() const {
-  return route_table_ != nullptr && endpoints_known_ && !shutting_down_;
+  return route_table_ != nullptr && endpoints_known_ && !stop_->begun();
 }
 
 void entry_process::ReportReadiness() {
@@ -299,11 +294,10 @@
 }
 
 void entry_process::BeginShutdown() {
-  if (shutting_down_) {
+  if (stop_->begun()) {
     return;
   }
-  shutting_down_ = true;
-  stop_deadline_ = loop_.Now() + settings_.grace - kStopMargin;
+  stop_->Begin(loop_.Now(), settings_.grace);
   telemetry_.log->Info(
       log_message::kToldToStop,
       {.inputs = {{"unanswered",
@@ -311,26 +305,6 @@
   telemetry_.meter->Set(metric::kLeaving, 1);
   ReportReadiness();
   peers_->AnnounceLeaving();
-  caller_server_->CloseAfterResponses();
-  stop_accepting_timer_ = loop_.RunAfter(settings_.grace - kStopAcceptingMargin,
-                                         [this] { StopAccepting(); });
-}
-
-void entry_process::StopAccepting() {
-  caller_server_->StopAccepting();
-  StopWhenIdle();
-}
-
-void entry_process::StopWhenIdle() {
-  caller_server_->CloseIdleConnections(loop_.Now());
-  const bool idle = requests_->unanswered() == 0 &&
-                    caller_server_->requests_in_progress() == 0;
-  if (idle || loop_.Now() >= stop_deadline_) {
-    StopProcess();
-    return;
-  }
-  idle_check_timer_ =
-      loop_.RunAfter(kIdleCheckInterval, [this] { StopWhenIdle(); });
 }
 
 void entry_process::StopProcess() {
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -17,6 +17,7 @@
 #include "trefoilmill/version/zones_out.h"
 #include "trefoilmill_entry/connection_pools.h"
 #include "trefoilmill_entry/peer_gossip.h"
+#include "trefoilmill_entry/planned_stop.h"
 #include "trefoilmill_entry/request_handler.h"
 #include "trefoilmill_entry/store_sync.h"
 #include "trefoilmill_entry/telemetry.h"
@@ -92,13 +93,8 @@
                           const http_responder& responder);
   void RunHousekeeping();
   void ReloadSettings();
-  /// Announces that this host leaves, and has callers' connections closed after
-  /// their replies.
+  /// Announces that this host leaves, and begins the planned stop.
   void BeginShutdown();
-  void StopAccepting();
-  /// Stops when no request is in progress or the time is up; else checks again
-  /// later.
-  void StopWhenIdle();
   void StopProcess();
 
   event_loop& loop_;
@@ -117,9 +113,6 @@
   bool hosts_changed_ = false;
   bool endpoints_known_ = false;
   bool was_ready_ = false;
-  bool shutting_down_ = false;
-  /// When the process stops even if requests are in progress.
-  time_point stop_deadline_;
   time_point last_housekeeping_;
   int housekeeping_runs_ = 0;
   std::unique_ptr<connection_pools> pools_;
@@ -130,9 +123,8 @@
   std::unique_ptr<http_server> readiness_server_;
   std::unique_ptr<http_server> directory_server_;
   std::unique_ptr<http_server> metrics_server_;
+  std::unique_ptr<planned_stop> stop_;
   timer housekeeping_timer_;
-  timer stop_accepting_timer_;
-  timer idle_check_timer_;
 };
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -289,7 +289,7 @@
 
 void entry_process::UpdateEntryHosts() {
   // During shutdown this host goes on serving with the entry hosts it knew.
-  if (peers_ == nullptr || shutting_down_) {
+  if (peers_ == nullptr || stop_->begun()) {
     return;
   }
   auto entry_hosts = peers_->EntryHosts();
--- /dev/null
+++ b/src/trefoilmill_entry/planned_stop.h
@@ -0,0 +1,45 @@
+/// Ends the process gracefully after it was told to stop.
+#ifndef TREFOILMILL_ENTRY_PLANNED_STOP_H_
+#define TREFOILMILL_ENTRY_PLANNED_STOP_H_
+
+#include <functional>
+#include <optional>
+
+#include "trefoilmill/net/event_loop.h"
+#include "trefoilmill/net/http.h"
+#include "trefoilmill/process/stop_schedule.h"
+#include "trefoilmill_entry/request_handler.h"
+
+namespace trefoilmill::entry {
+
+/// Serves callers until the time to stop accepting, and ends the process when
+/// every request is answered and every answer written, or when time is up.
+class planned_stop {
+ public:
+  /// `on_end` is called once, when the process is to end.
+  planned_stop(event_loop& loop,
+               http_server& caller_server,
+               request_handler& requests,
+               std::function<void()> on_end);
+
+  /// Begins the stop of a process that is killed after `grace`.
+  void Begin(time_point now, duration grace);
+  bool begun() const { return schedule_.has_value(); }
+
+ private:
+  void StopAccepting();
+  /// Closes idle connections; ends the process if none is left or time is up,
+  /// else checks again later.
+  void EndWhenIdle();
+
+  event_loop& loop_;
+  http_server& caller_server_;
+  request_handler& requests_;
+  std::function<void()> on_end_;
+  std::optional<stop_schedule> schedule_;
+  timer next_step_;
+};
+
+}  // namespace trefoilmill::entry
+
+#endif  // TREFOILMILL_ENTRY_PLANNED_STOP_H_
