Planned stop: every request is answered before the process ends

Cause: nothing tied a request's own deadline to the stop. The host accepted until 1.5 s before the end of the grace time, and what had no answer 0.3 s before it was cut: requests at slow or silent endpoints.

Change: while the process stops, every request has an answer deadline of 0.6 s before the end of the grace time (stop_schedule::answer_by); then it gets what is there: a partial answer, 'not run', or 502. A request whose expected latency leaves no room until then is refused at once as not run, with Retry-After 0, as other hosts can serve it. An answer at a deadline names its reason in the log ('deadline_exceeded' was missing).

--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -5,6 +5,7 @@
 #define TREFOILMILL_PROCESS_SHARED_REQUEST_STATE_H_
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include "trefoilmill/process/capacity_queue.h"
@@ -31,6 +32,9 @@
   capacity_queue waiting;
   /// The longest time that a caller of each route was willing to wait.
   std::unordered_map<route_id, duration> longest_waits;
+  /// Set while the process stops: when every request has its answer at the
+  /// latest.
+  std::optional<time_point> answer_by;
   /// The most recently assigned attempt id.
   std::uint64_t last_attempt_id = 0;
 };
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -174,6 +174,9 @@
                      std::size_t shard);
   /// Sends hedges that are due, and answers if a deadline has passed.
   actions Tick(time_point now, shared_request_state& shared);
+  /// The process stops: the request has to be answered by `shared.answer_by`,
+  /// which is set.
+  actions OnStop(time_point now, shared_request_state& shared);
 
   /// The caller disconnected: nothing more is sent or answered.
   void OnCallerDisconnected() { finished_ = true; }
@@ -253,6 +256,11 @@
                   shared_request_state& shared,
                   std::size_t index,
                   actions& out);
+  /// Brings the answer deadline forward to when the process stops, if that is
+  /// earlier.
+  void LimitAnswerDeadline(time_point answer_by);
+  /// Whether the process stops too soon for the request to be done by then.
+  bool StopsTooSoon(time_point now, const shared_request_state& shared) const;
   /// Answers the caller if the request is complete, cannot succeed any more, or
   /// has run out of time.
   void FinishIfDue(time_point now, actions& out);
@@ -299,6 +307,8 @@
   time_point arrived_;
   /// When the answer must be sent in any case.
   time_point answer_deadline_;
+  /// The answer deadline is that of the stopping process.
+  bool limited_by_stop_ = false;
   /// Latest time to send an answer that meets the route's objective.
   time_point objective_deadline_;
   bool finished_ = false;
--- a/src/libtrefoilmill/request/endpoint_simulation_test.h
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -162,7 +162,8 @@
         .latencies = {},
         .admission = deadline_admission(std::mt19937_64(random_())),
         .waiting = {},
-        .longest_waits = {}};
+        .longest_waits = {},
+        .answer_by = {}};
     shared.extra_sends.SetHosts(
         {.advertised = static_cast<std::size_t>(scenario_.hosts)});
     return shared;
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -98,6 +98,15 @@
 request_run::actions request_run::Start(time_point now,
                                         shared_request_state& shared) {
   actions out;
+  if (shared.answer_by.has_value()) {
+    LimitAnswerDeadline(*shared.answer_by);
+  }
+  if (StopsTooSoon(now, shared)) {
+    Finish(refused_answer{.reason = reason_code::kShuttingDown,
+                          .retry_after = duration::zero()},
+           out);
+    return out;
+  }
   if (answer_deadline_ - now < kMinTimeToSend) {
     Finish(refused_answer{.reason = reason_code::kDeadlineUnmeetable,
                           .retry_after = duration::zero()},
@@ -124,6 +133,29 @@
   return SendAll(now, shared);
 }
 
+bool request_run::StopsTooSoon(time_point now,
+                               const shared_request_state& shared) const {
+  return limited_by_stop_ && !deadline_admission::IsSafe(
+                                 Prospect(now, shared, answer_deadline_ - now));
+}
+
+void request_run::LimitAnswerDeadline(time_point answer_by) {
+  if (answer_by >= answer_deadline_) {
+    return;
+  }
+  answer_deadline_ = answer_by;
+  limited_by_stop_ = true;
+  if (deferred_until_.has_value()) {
+    deferred_until_ = std::min(*deferred_until_, answer_by - route_->objective);
+  }
+}
+
+request_run::actions request_run::OnStop(time_point now,
+                                         shared_request_state& shared) {
+  LimitAnswerDeadline(*shared.answer_by);
+  return Tick(now, shared);
+}
+
 request_run::actions request_run::ContinueDeferred(
     time_point now,
     shared_request_state& shared) {
--- a/src/libtrefoilmill/request/request_run_answer.cc
+++ b/src/libtrefoilmill/request/request_run_answer.cc
@@ -48,7 +48,13 @@
     FinishRelayIfDue(now, out);
   }
   if (!finished_ && now >= answer_deadline_) {
-    Fail(now, reason_code::kDeadlineExceeded, out);
+    const reason_code reason = limited_by_stop_
+                                   ? reason_code::kShuttingDown
+                                   : reason_code::kDeadlineExceeded;
+    if (counts_.last_failure == reason_code::kNone) {
+      counts_.last_failure = reason;
+    }
+    Fail(now, reason, out);
   }
   if (!finished_ && counts_.sends == 0 && now >= CapacityDeadline()) {
     Fail(now, reason_code::kOverloaded, out);
@@ -137,6 +143,10 @@
 }
 
 duration request_run::RetryAfter(time_point now, reason_code reason) const {
+  if (reason == reason_code::kShuttingDown) {
+    // Other hosts can serve the request at once.
+    return duration::zero();
+  }
   std::optional<time_point> usable_at;
   for (const shard& s : shards_) {
     if (s.failed && s.usable_at.has_value()) {
--- a/src/libtrefoilmill/request/request_run_fixture_test.h
+++ b/src/libtrefoilmill/request/request_run_fixture_test.h
@@ -26,7 +26,8 @@
       .latencies = {},
       .admission = deadline_admission(std::mt19937_64(5)),
       .waiting = {},
-      .longest_waits = {}};
+      .longest_waits = {},
+      .answer_by = {}};
   std::shared_ptr<const route_table> table;
   std::unique_ptr<request_run> run;
   std::vector<request_run::send> sends;
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -52,7 +52,8 @@
       .latencies = {},
       .admission = deadline_admission(std::mt19937_64(std::random_device()())),
       .waiting = {},
-      .longest_waits = {}};
+      .longest_waits = {},
+      .answer_by = {}};
 }
 
 /// Assigns the created server, or returns the error.
--- a/src/trefoilmill_entry/planned_stop.cc
+++ b/src/trefoilmill_entry/planned_stop.cc
@@ -23,6 +23,7 @@
 void planned_stop::Begin(time_point now, duration grace) {
   schedule_ = stop_schedule::Create(now, grace);
   caller_server_.CloseAfterResponses();
+  requests_.AnswerBy(schedule_->answer_by);
   next_step_ = loop_.RunAfter(schedule_->accept_until - now,
                               [this] { StopAccepting(); });
 }
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -145,6 +145,20 @@
   EraseIfFinished(number);
 }
 
+void request_handler::AnswerBy(time_point answer_by) {
+  shared_state_.answer_by = answer_by;
+  std::vector<request_number> numbers;
+  std::ranges::copy(std::views::keys(active_requests_),
+                    std::back_inserter(numbers));
+  for (const request_number number : numbers) {
+    const auto found = active_requests_.find(number);
+    if (found != active_requests_.end()) {
+      RunActions(number, found->second->run.OnStop(loop_.Now(), shared_state_));
+      EraseIfFinished(number);
+    }
+  }
+}
+
 void request_handler::RunActions(request_number number,
                                  request_run::actions actions) {
   for (auto& action : actions) {
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -49,6 +49,9 @@
     on_endpoint_leaving_ = std::move(callback);
   }
 
+  /// The process stops: requests in progress, and those that still arrive, are
+  /// answered by `answer_by`.
+  void AnswerBy(time_point answer_by);
   /// Number of requests that have no answer yet.
   std::size_t unanswered() const { return unanswered_; }
   /// Logs each request that has no answer yet, as the process stops now.
