A signal sent to a starting process no longer ends it

A supervisor that signals in series meets it; a SIGHUP must never end a process.

Change: main() holds the three signals back until the loop runs; both daemons. What comes before main() (dynamic linking, 2 ms here) is out of the process's hands.

--- a/src/include/trefoilmill/net/event_loop.h
+++ b/src/include/trefoilmill/net/event_loop.h
@@ -34,6 +34,10 @@
 /// Single-threaded event loop. A task may destroy the timer that called it.
 class event_loop {
  public:
+  /// Holds back SIGTERM, SIGINT and SIGHUP until a loop runs, so that one sent
+  /// to a starting process reaches its handler instead of ending the process.
+  /// Call it first in main().
+  static void HoldSignals();
   /// Creates a loop and sets the process to ignore SIGPIPE. Fails if libevent
   /// cannot create its event base.
   static result<std::unique_ptr<event_loop>> Create();
--- a/src/libtmnet/event_loop.cc
+++ b/src/libtmnet/event_loop.cc
@@ -20,6 +20,16 @@
           .tv_usec = static_cast<suseconds_t>(microseconds % 1'000'000)};
 }
 
+// Signals that a process handles on its loop.
+sigset_t HandledSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
 using shared_task = std::shared_ptr<std::function<void()>>;
 
 struct event_deleter {
@@ -104,7 +114,14 @@
           .count());
 }
 
+void event_loop::HoldSignals() {
+  const sigset_t signals = HandledSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 void event_loop::Run() {
+  const sigset_t signals = HandledSignals();
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
   event_base_loop(impl_->base.get(), EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
--- a/src/libtmnet/event_loop_test.cc
+++ b/src/libtmnet/event_loop_test.cc
@@ -52,6 +52,15 @@
   BOOST_TEST(call_count == 3);
 }
 
+BOOST_AUTO_TEST_CASE(a_signal_before_its_handler_reaches_it) {
+  event_loop::HoldSignals();
+  std::raise(SIGHUP);
+  const auto loop = MakeLoop();
+  loop->OnSignal(SIGHUP, [&] { loop->Stop(); });
+  const timer limit = loop->RunAfter(kTestTimeout, [] { std::abort(); });
+  loop->Run();
+}
+
 BOOST_AUTO_TEST_CASE(signal_handlers_run_on_the_loop) {
   const auto loop = MakeLoop();
   loop->OnSignal(SIGUSR1, [&] { loop->Stop(); });
--- a/src/trefoilmill_entry/entry_main.cc
+++ b/src/trefoilmill_entry/entry_main.cc
@@ -17,6 +17,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  trefoilmill::event_loop::HoldSignals();
   CLI::App app("One entry host of the trefoilmill query tier.");
   std::string settings_file;
   bool check_only = false;
--- a/src/trefoilmilld/main.cc
+++ b/src/trefoilmilld/main.cc
@@ -15,6 +15,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  trefoilmill::event_loop::HoldSignals();
   CLI::App app("One host of the trefoilmill query tier.");
   std::string file;
   bool check = false;
