Planned stop: the directory's answers are written before the end, too

The directory has the same fault as the callers' server had: the process could end with an answer of it in the buffer. Both servers now go through the same steps.

--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -126,8 +126,10 @@
     return listening.error();
   }
   process->stop_ = std::make_unique<planned_stop>(
-      loop, *process->caller_server_, *process->requests_,
-      [self] { self->StopProcess(); });
+      loop,
+      std::vector{process->caller_server_.get(),
+                  process->directory_server_.get()},
+      *process->requests_, [self] { self->StopProcess(); });
   auto peers = peer_gossip::Create(
       loop, settings, *process->store_, process->shared_state_.selector,
       process->telemetry_,
--- a/src/trefoilmill_entry/planned_stop.cc
+++ b/src/trefoilmill_entry/planned_stop.cc
@@ -1,5 +1,6 @@
 #include "trefoilmill_entry/planned_stop.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace trefoilmill::entry {
@@ -12,34 +13,35 @@
 }  // namespace
 
 planned_stop::planned_stop(event_loop& loop,
-                           http_server& caller_server,
+                           std::vector<http_server*> servers,
                            request_handler& requests,
                            std::function<void()> on_end)
     : loop_(loop),
-      caller_server_(caller_server),
+      servers_(std::move(servers)),
       requests_(requests),
       on_end_(std::move(on_end)) {}
 
 void planned_stop::Begin(time_point now, duration grace) {
   schedule_ = stop_schedule::Create(now, grace);
-  caller_server_.CloseAfterResponses();
+  std::ranges::for_each(servers_, &http_server::CloseAfterResponses);
   requests_.AnswerBy(schedule_->answer_by);
   next_step_ = loop_.RunAfter(schedule_->accept_until - now,
                               [this] { StopAccepting(); });
 }
 
 void planned_stop::StopAccepting() {
-  caller_server_.StopAccepting();
+  std::ranges::for_each(servers_, &http_server::StopAccepting);
   EndWhenIdle();
 }
 
 void planned_stop::EndWhenIdle() {
   const time_point now = loop_.Now();
-  caller_server_.CloseIdleConnections(now);
+  for (http_server* server : servers_) {
+    server->CloseIdleConnections(now);
+  }
   // A connection stays open until its answer is written, so that the answer is
   // not lost with the process.
-  const bool idle =
-      requests_.unanswered() == 0 && caller_server_.open_connections() == 0;
+  const bool idle = requests_.unanswered() == 0 && !HasOpenConnections();
   if (idle || now >= schedule_->end_by) {
     on_end_();
     return;
@@ -47,4 +49,10 @@
   next_step_ = loop_.RunAfter(kIdleCheckInterval, [this] { EndWhenIdle(); });
 }
 
+bool planned_stop::HasOpenConnections() const {
+  return std::ranges::any_of(servers_, [](const http_server* server) {
+    return server->open_connections() > 0;
+  });
+}
+
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/planned_stop.h
+++ b/src/trefoilmill_entry/planned_stop.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
@@ -16,9 +17,10 @@
 /// every request is answered and every answer written, or when time is up.
 class planned_stop {
  public:
-  /// `on_end` is called once, when the process is to end.
+  /// `servers` are those that callers connect to. `on_end` is called once, when
+  /// the process is to end.
   planned_stop(event_loop& loop,
-               http_server& caller_server,
+               std::vector<http_server*> servers,
                request_handler& requests,
                std::function<void()> on_end);
 
@@ -31,9 +33,10 @@
   /// Closes idle connections; ends the process if none is left or time is up,
   /// else checks again later.
   void EndWhenIdle();
+  bool HasOpenConnections() const;
 
   event_loop& loop_;
-  http_server& caller_server_;
+  std::vector<http_server*> servers_;
   request_handler& requests_;
   std::function<void()> on_end_;
   std::optional<stop_schedule> schedule_;
