--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -107,6 +107,9 @@
   /// its first request. Requests that arrive on a connection afterwards are not
   /// handled, since they could not be answered.
   void CloseIdleConnections(time_point now);
+  /// Whether the kernel holds connections that are not accepted yet. Closing the
+  /// listening socket resets them.
+  bool HasPendingConnections() const;
   /// Closes the listening socket; established connections stay open.
   void StopAccepting();
   /// Number of established connections.
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -5,6 +5,7 @@
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -365,6 +366,16 @@
   impl_->state->close_after_responses = true;
 }
 
+bool http_server::HasPendingConnections() const {
+  if (impl_->bound_socket == nullptr) {
+    return false;
+  }
+  pollfd listening{.fd = evhttp_bound_socket_get_fd(impl_->bound_socket),
+                   .events = POLLIN,
+                   .revents = 0};
+  return poll(&listening, 1, 0) == 1;
+}
+
 void http_server::StopAccepting() {
   if (impl_->bound_socket != nullptr) {
     evhttp_del_accept_socket(impl_->http.get(), impl_->bound_socket);
--- a/src/libtmnet/http_server_stop_test.cc
+++ b/src/libtmnet/http_server_stop_test.cc
@@ -92,6 +92,16 @@
   BOOST_TEST(RunUntil(*loop, [&] { return server->open_connections() == 0; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(connections_not_accepted_yet_are_reported, fixture) {
+  BOOST_TEST(!server->HasPendingConnections());
+  const socket_client client(server->port());
+  BOOST_TEST(server->HasPendingConnections());
+  WaitForConnections(1);
+  BOOST_TEST(!server->HasPendingConnections());
+  server->StopAccepting();
+  BOOST_TEST(!server->HasPendingConnections());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_connection_stays_open_until_its_response_is_written,
                         fixture) {
   response.body = std::string(kLargeBodyBytes, 'x');
