Test: a connection accepted in the last turn is not counted as open (fails)

Callers see: a connection that a quiet stopping host accepts in the turn of the loop in which it checks whether it may end is closed without an answer, with most of a second or more of its grace time left.

Cause: http_server registers an accepted connection in a posted task, which runs later. Until then open_connections() does not count it.

Seen in this test only; not yet singled out with real processes.

--- a/src/libtmnet/http_server_stop_test.cc
+++ b/src/libtmnet/http_server_stop_test.cc
@@ -92,6 +92,22 @@
   BOOST_TEST(RunUntil(*loop, [&] { return server->open_connections() == 0; }));
 }
 
+// The turn of the loop that accepts a connection may also be the one in which
+// the process checks whether it may end.
+BOOST_FIXTURE_TEST_CASE(an_accepted_connection_counts_as_open_at_once,
+                        fixture) {
+  const socket_client client(server->port());
+  client.Send(kRequest);
+  std::size_t open_connections = 0;
+  const timer check = loop->RunAfter(duration::zero(), [&] {
+    server->StopAccepting();
+    open_connections = server->open_connections();
+    loop->Stop();
+  });
+  loop->Run();
+  BOOST_TEST(open_connections == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_connection_stays_open_until_its_response_is_written,
                         fixture) {
   response.body = std::string(kLargeBodyBytes, 'x');
