Test: a connection that waits to be accepted is reset at the stop (fails)

Callers see: a connection that the kernel has set up and whose request is sent is reset when the host closes its listening socket.

Cause: StopAccepting() closes the listening socket without accepting what waits in its queue. The later the loop runs, the more waits there; after SIGCONT timers even run before the sockets are looked at.

--- a/src/libtmnet/http_server_stop_test.cc
+++ b/src/libtmnet/http_server_stop_test.cc
@@ -108,6 +108,16 @@
   BOOST_TEST(open_connections == 1U);
 }
 
+// It is connected for its caller, who may have sent its request already.
+BOOST_FIXTURE_TEST_CASE(a_connection_that_waits_to_be_accepted_is_served,
+                        fixture) {
+  socket_client client(server->port());
+  client.Send(kRequest);
+  server->StopAccepting();
+  RunFor(*loop, std::chrono::milliseconds(100));
+  BOOST_TEST(client.Receive().find("whole") != std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_connection_stays_open_until_its_response_is_written,
                         fixture) {
   response.body = std::string(kLargeBodyBytes, 'x');
