Test: an answer read for longer than the idle time is cut (fails)

Callers see: a large answer ends early if its caller needs longer for it than the idle time, though the caller reads all the while.

Cause: after a response SendResponse() sets the idle time as the limit for reading too, and evhttp leaves reading on while it writes, to notice a close. Nothing arrives while the caller reads, so the limit ends it.

--- a/src/libtmnet/http_server_stop_test.cc
+++ b/src/libtmnet/http_server_stop_test.cc
@@ -139,6 +139,31 @@
   BOOST_TEST(client.Receive().size() > kLargeBodyBytes);
 }
 
+// evhttp reads while it writes, to notice a close: nothing that arrives is no
+// reason to end the connection of a caller that reads all the while.
+BOOST_FIXTURE_TEST_CASE(a_response_read_for_longer_than_the_idle_time_is_whole,
+                        fixture) {
+  auto patient = http_server::Listen(
+      *loop, {kTestIp, 0}, {.idle_timeout = std::chrono::milliseconds(200)},
+      [this](const http_request&, const http_responder& responder) {
+        ++handled;
+        responder.Send({.headers = {{.name = "Connection", .value = "close"}},
+                        .body = std::string(kLargeBodyBytes, 'x')});
+      });
+  socket_client client(patient.value()->port());
+  client.Send(kRequest);
+  // At most 1 MiB each time.
+  std::size_t received = 0;
+  const timer read = loop->RunEvery(std::chrono::milliseconds(20), [&] {
+    received = client.Receive().size();
+  });
+  BOOST_TEST(RunUntil(*loop, [&] { return handled == 1; }));
+  BOOST_TEST(RunUntil(
+      *loop, [&] { return patient.value()->open_connections() == 0; }));
+  RunFor(*loop, std::chrono::seconds(1));
+  BOOST_TEST(received > kLargeBodyBytes);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_response_lost_with_its_connection_is_reported,
                         fixture) {
   std::size_t unsent_bytes = 0;
