Test: a signal while a process cleans up ends it by default (fails)

A service manager sees a planned stop end by a signal instead of with status 0.

Cause: the handlers end with the loop, and the signals are not held back again, so that one sent between the end of the loop and the end of the process meets the default action.

--- a/src/libtmnet/event_loop_test.cc
+++ b/src/libtmnet/event_loop_test.cc
@@ -1,6 +1,9 @@
 #define BOOST_TEST_MODULE event_loop
 #include "trefoilmill/net/event_loop.h"
 
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <vector>
@@ -61,6 +64,23 @@
   loop->Run();
 }
 
+// A supervisor may signal in series, also while the process cleans up.
+BOOST_AUTO_TEST_CASE(a_signal_after_the_loop_does_not_end_the_process) {
+  const pid_t child = fork();
+  if (child == 0) {
+    event_loop::HoldSignals();
+    auto loop = MakeLoop();
+    loop->OnSignal(SIGHUP, [] {});
+    RunFor(*loop, std::chrono::milliseconds(1));
+    loop.reset();
+    std::raise(SIGHUP);
+    _exit(0);
+  }
+  int status = -1;
+  waitpid(child, &status, 0);
+  BOOST_TEST(WIFEXITED(status));
+}
+
 BOOST_AUTO_TEST_CASE(signal_handlers_run_on_the_loop) {
   const auto loop = MakeLoop();
   loop->OnSignal(SIGUSR1, [&] { loop->Stop(); });
