--- a/src/libtmnet/http_server_stop_test.cc
+++ b/src/libtmnet/http_server_stop_test.cc
@@ -102,6 +102,32 @@
   BOOST_TEST(!server->HasPendingConnections());
 }
 
+// The turn of the loop that accepts a connection may also be the one in which
+// the process checks whether it may end.
+BOOST_FIXTURE_TEST_CASE(an_accepted_connection_counts_as_open_at_once,
+                        fixture) {
+  const socket_client client(server->port());
+  client.Send(kRequest);
+  std::size_t open_connections = 0;
+  const timer check = loop->RunAfter(duration::zero(), [&] {
+    server->StopAccepting();
+    open_connections = server->open_connections();
+    loop->Stop();
+  });
+  loop->Run();
+  BOOST_TEST(open_connections == 1U);
+}
+
+// It is connected for its caller, who may have sent its request already.
+BOOST_FIXTURE_TEST_CASE(a_connection_that_waits_to_be_accepted_is_served,
+                        fixture) {
+  socket_client client(server->port());
+  client.Send(kRequest);
+  server->StopAccepting();
+  RunFor(*loop, std::chrono::milliseconds(100));
+  BOOST_TEST(client.Receive().find("whole") != std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_connection_stays_open_until_its_response_is_written,
                         fixture) {
   response.body = std::string(kLargeBodyBytes, 'x');
@@ -123,6 +149,31 @@
   BOOST_TEST(client.Receive().size() > kLargeBodyBytes);
 }
 
+// evhttp reads while it writes, to notice a close: nothing that arrives is no
+// reason to end the connection of a caller that reads all the while.
+BOOST_FIXTURE_TEST_CASE(a_response_read_for_longer_than_the_idle_time_is_whole,
+                        fixture) {
+  auto patient = http_server::Listen(
+      *loop, {kTestIp, 0}, {.idle_timeout = std::chrono::milliseconds(200)},
+      [this](const http_request&, const http_responder& responder) {
+        ++handled;
+        responder.Send({.headers = {{.name = "Connection", .value = "close"}},
+                        .body = std::string(kLargeBodyBytes, 'x')});
+      });
+  socket_client client(patient.value()->port());
+  client.Send(kRequest);
+  // At most 1 MiB each time.
+  std::size_t received = 0;
+  const timer read = loop->RunEvery(std::chrono::milliseconds(20), [&] {
+    received = client.Receive().size();
+  });
+  BOOST_TEST(RunUntil(*loop, [&] { return handled == 1; }));
+  BOOST_TEST(RunUntil(
+      *loop, [&] { return patient.value()->open_connections() == 0; }));
+  RunFor(*loop, std::chrono::seconds(1));
+  BOOST_TEST(received > kLargeBodyBytes);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_response_lost_with_its_connection_is_reported,
                         fixture) {
   std::size_t unsent_bytes = 0;
