--- a/src/include/trefoilmill/net/event_loop.h
+++ b/src/include/trefoilmill/net/event_loop.h
@@ -34,8 +34,9 @@
 /// Single-threaded event loop. A task may destroy the timer that called it.
 class event_loop {
  public:
-  /// Holds back SIGTERM, SIGINT and SIGHUP until a loop runs, so that one sent
-  /// to a starting process reaches its handler instead of ending the process.
+  /// Holds back SIGTERM, SIGINT and SIGHUP while no loop runs. One that is sent
+  /// to a starting process then reaches its handler, and one that is sent while
+  /// the process cleans up is ignored, where it would end the process otherwise.
   /// Call it first in main().
   static void HoldSignals();
   /// Creates a loop and sets the process to ignore SIGPIPE. Fails if libevent
--- a/src/libtmnet/event_loop.cc
+++ b/src/libtmnet/event_loop.cc
@@ -30,6 +30,9 @@
   return signals;
 }
 
+// Whether HoldSignals() was called in this process.
+bool holds_signals = false;
+
 using shared_task = std::shared_ptr<std::function<void()>>;
 
 struct event_deleter {
@@ -115,6 +118,7 @@
 }
 
 void event_loop::HoldSignals() {
+  holds_signals = true;
   const sigset_t signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
@@ -123,6 +127,9 @@
   const sigset_t signals = HandledSignals();
   pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
   event_base_loop(impl_->base.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+  if (holds_signals) {
+    HoldSignals();
+  }
 }
 
 void event_loop::Stop() {
