An answer that is read for longer than the idle time is not cut

Cause: the timeout for reading was set when the answer was handed over, and evhttp goes on reading to notice a close. A caller that still reads the answer sends nothing.

--- a/src/libtmnet/http_responder.cc
+++ b/src/libtmnet/http_responder.cc
@@ -53,7 +53,16 @@
   bufferevent_disable(bev, EV_READ);
   bufferevent_setwatermark(bev, EV_READ, 0, 0);
   bufferevent_setcb(bev, read_cb, write_cb, event_cb, cb_arg);
-  bufferevent_set_timeouts(bev, &server->idle_timeout, &server->idle_timeout);
+  // A caller that still reads the response sends nothing meanwhile.
+  bufferevent_set_timeouts(bev, nullptr, &server->idle_timeout);
+}
+
+void http_responder::impl::OnResponseWritten(evhttp_request* evreq,
+                                             void* self) {
+  const auto* state = static_cast<server_state*>(self);
+  bufferevent* bev =
+      evhttp_connection_get_bufferevent(evhttp_request_get_connection(evreq));
+  bufferevent_set_timeouts(bev, &state->idle_timeout, &state->idle_timeout);
 }
 
 void http_responder::impl::MarkCompleted() {
@@ -111,6 +120,8 @@
   }
   evbuffer* body = evhttp_request_get_output_buffer(request);
   evbuffer_add(body, response.body.data(), size);
+  evhttp_request_set_on_complete_cb(request, &impl::OnResponseWritten,
+                                    server.get());
   connection->writing_response = true;
   evhttp_send_reply(request, response.status, nullptr, nullptr);
   connection->writing_response = false;
--- a/src/libtmnet/http_responder_impl.h
+++ b/src/libtmnet/http_responder_impl.h
@@ -73,8 +73,12 @@
 
   /// Starts to detect that the peer closes while the request is in progress.
   void WatchForClose();
-  /// Restores evhttp's callbacks and timeouts on the connection.
+  /// Restores evhttp's callbacks on the connection, and its timeout for
+  /// writing.
   void StopWatchingForClose();
+  /// Restores the timeout for reading. evhttp callback; `self` is the server's
+  /// state.
+  static void OnResponseWritten(evhttp_request* evreq, void* self);
   /// Marks the request as no longer in progress.
   void MarkCompleted();
   /// Handles the end of the connection: releases evhttp's request and calls
