http_server: pending connections are accepted before accepting ends

The step that waits for a moment without pending connections moves from planned_stop into the server, where it has a timer and a test: StopAccepting() takes a few turns of the loop, is_accepting() tells.

Evidence: http_server_stop_test: a_connection_that_waits_to_be_accepted_is_served and an_accepted_connection_counts_as_open_at_once failed before.

--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -107,11 +107,12 @@
   /// its first request. Requests that arrive on a connection afterwards are not
   /// handled, since they could not be answered.
   void CloseIdleConnections(time_point now);
-  /// Whether the kernel holds connections that are not accepted yet. Closing the
-  /// listening socket resets them.
-  bool HasPendingConnections() const;
-  /// Closes the listening socket; established connections stay open.
+  /// Closes the listening socket; established connections stay open. Those that
+  /// the kernel holds for the server are accepted before, which takes a few
+  /// turns of the loop.
   void StopAccepting();
+  /// Whether connections may still be accepted.
+  bool is_accepting() const;
   /// Number of established connections.
   std::size_t open_connections() const;
   /// Number of requests passed to the handler that have no response yet.
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -29,6 +29,9 @@
 // of the response.
 constexpr ev_ssize_t kEvhttpLimitFactor = 4;
 constexpr std::uint16_t kAllMethods = 0xffff;
+// How long the end of accepting waits at most for a moment at which the kernel
+// holds no connection that is not accepted.
+constexpr duration kMaxAcceptDelay = std::chrono::milliseconds(100);
 // How long a new connection is not idle though it has sent nothing yet.
 constexpr duration kFirstRequestTime = std::chrono::milliseconds(100);
 // Length of a status line up to the status code, as in "HTTP/1.1 400", and the
@@ -76,6 +79,9 @@
   std::uint16_t port = 0;
   std::unordered_map<evhttp_connection*, std::shared_ptr<server_connection>>
       connections;
+  /// Accepted connections whose registration is posted.
+  std::size_t unregistered_connections = 0;
+  timer stop_accepting_timer;
   std::shared_ptr<server_state> state = std::make_shared<server_state>();
   std::function<bool()> accept_filter;
   std::function<void()> on_closed;
@@ -102,6 +108,12 @@
   /// Whether the connection may be closed without cutting off a request.
   static bool IsIdle(const server_connection& connection, time_point now);
   void RegisterConnection(bufferevent* bev);
+  /// Whether the kernel holds connections that are not accepted yet. Closing
+  /// the listening socket would reset them.
+  bool HasPendingConnections() const;
+  /// Closes the listening socket once no connection is pending, at `give_up_at`
+  /// in any case.
+  void StopAccepting(time_point give_up_at);
   void DispatchRequest(evhttp_request* evreq);
   void ApplyLimits();
   std::optional<http_response> CheckLimits(const http_request& request) const;
@@ -115,6 +127,7 @@
   }
   // evhttp sets the socket and its callbacks right after this call returns. The
   // posted task runs before the loop polls that socket.
+  ++server->unregistered_connections;
   server->loop.Post(
       [bev, liveness_token = std::weak_ptr(server->liveness_token)] {
         if (const auto owner = liveness_token.lock()) {
@@ -125,6 +138,7 @@
 }
 
 void http_server::impl::RegisterConnection(bufferevent* bev) {
+  --unregistered_connections;
   const evutil_socket_t fd = bufferevent_getfd(bev);
   SetNoDelay(fd);
   if (accept_filter && !accept_filter()) {
@@ -146,6 +160,26 @@
   evhttp_connection_set_closecb(evcon, &impl::OnConnectionClosed, this);
 }
 
+bool http_server::impl::HasPendingConnections() const {
+  pollfd listening{.fd = evhttp_bound_socket_get_fd(bound_socket),
+                   .events = POLLIN,
+                   .revents = 0};
+  return poll(&listening, 1, 0) == 1;
+}
+
+void http_server::impl::StopAccepting(time_point give_up_at) {
+  if (bound_socket == nullptr) {
+    return;
+  }
+  if (HasPendingConnections() && loop.Now() < give_up_at) {
+    stop_accepting_timer = loop.RunAfter(
+        duration::zero(), [this, give_up_at] { StopAccepting(give_up_at); });
+    return;
+  }
+  evhttp_del_accept_socket(http.get(), bound_socket);
+  bound_socket = nullptr;
+}
+
 void http_server::impl::OnConnectionClosed(evhttp_connection* evcon,
                                            void* self) {
   auto* server = static_cast<impl*>(self);
@@ -366,25 +400,16 @@
   impl_->state->close_after_responses = true;
 }
 
-bool http_server::HasPendingConnections() const {
-  if (impl_->bound_socket == nullptr) {
-    return false;
-  }
-  pollfd listening{.fd = evhttp_bound_socket_get_fd(impl_->bound_socket),
-                   .events = POLLIN,
-                   .revents = 0};
-  return poll(&listening, 1, 0) == 1;
+void http_server::StopAccepting() {
+  impl_->StopAccepting(impl_->loop.Now() + kMaxAcceptDelay);
 }
 
-void http_server::StopAccepting() {
-  if (impl_->bound_socket != nullptr) {
-    evhttp_del_accept_socket(impl_->http.get(), impl_->bound_socket);
-    impl_->bound_socket = nullptr;
-  }
+bool http_server::is_accepting() const {
+  return impl_->bound_socket != nullptr;
 }
 
 std::size_t http_server::open_connections() const {
-  return impl_->connections.size();
+  return impl_->connections.size() + impl_->unregistered_connections;
 }
 
 std::size_t http_server::requests_in_progress() const {
--- a/src/trefoilmill_entry/planned_stop.cc
+++ b/src/trefoilmill_entry/planned_stop.cc
@@ -10,10 +10,6 @@
 /// end.
 constexpr duration kIdleCheckInterval = std::chrono::milliseconds(50);
 
-/// How long the end of accepting waits at most for a moment at which the kernel
-/// holds no connection that is not accepted.
-constexpr duration kMaxAcceptDelay = std::chrono::milliseconds(100);
-
 }  // namespace
 
 planned_stop::planned_stop(event_loop& loop,
@@ -34,11 +30,6 @@
 }
 
 void planned_stop::StopAccepting() {
-  const time_point give_up_at = schedule_->accept_until + kMaxAcceptDelay;
-  if (HasPendingConnections() && loop_.Now() < give_up_at) {
-    next_step_ = loop_.RunAfter(duration::zero(), [this] { StopAccepting(); });
-    return;
-  }
   std::ranges::for_each(servers_, &http_server::StopAccepting);
   EndWhenIdle();
 }
@@ -58,15 +49,9 @@
   next_step_ = loop_.RunAfter(kIdleCheckInterval, [this] { EndWhenIdle(); });
 }
 
-bool planned_stop::HasPendingConnections() const {
-  return std::ranges::any_of(servers_, [](const http_server* server) {
-    return server->HasPendingConnections();
-  });
-}
-
 bool planned_stop::HasOpenConnections() const {
   return std::ranges::any_of(servers_, [](const http_server* server) {
-    return server->open_connections() > 0;
+    return server->is_accepting() || server->open_connections() > 0;
   });
 }
 
--- a/src/trefoilmill_entry/planned_stop.h
+++ b/src/trefoilmill_entry/planned_stop.h
@@ -29,10 +29,7 @@
   bool begun() const { return schedule_.has_value(); }
 
  private:
-  /// Stops accepting connections, once the loop has accepted those that the
-  /// kernel holds.
   void StopAccepting();
-  bool HasPendingConnections() const;
   /// Closes idle connections; ends the process if none is left or time is up,
   /// else checks again later.
   void EndWhenIdle();
