Planned stop: a late last turn answers what is due before it ends

Cause: the timer of the stop runs before those of the requests; past the end it ended the process, though 0.25 s were left to answer.

--- a/src/include/trefoilmill/process/stop_schedule.h
+++ b/src/include/trefoilmill/process/stop_schedule.h
@@ -16,12 +16,14 @@
   /// Every request is answered by then, if need be without its endpoints'
   /// replies.
   time_point answer_by;
-  /// The process ends by then, even if answers are still being written.
+  /// The process ends by then, unless answers are still being written.
   time_point end_by;
+  /// The process ends by then in any case.
+  time_point write_until;
 
-  /// The schedule of a host that was told at `told` and is killed after
-  /// `grace`.
-  static stop_schedule Create(time_point told, duration grace);
+  /// The schedule of a host that was told to stop at `told_at` and is killed
+  /// after `grace`.
+  static stop_schedule Create(time_point told_at, duration grace);
 };
 
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/process/stop_schedule_test.cc
+++ b/src/libtrefoilmill/process/stop_schedule_test.cc
@@ -17,7 +17,8 @@
     BOOST_TEST((kTold < stop.accept_until));
     BOOST_TEST((stop.accept_until < stop.answer_by));
     BOOST_TEST((stop.answer_by < stop.end_by));
-    BOOST_TEST((stop.end_by < kTold + grace));
+    BOOST_TEST((stop.end_by < stop.write_until));
+    BOOST_TEST((stop.write_until < kTold + grace));
   }
 }
 
--- a/src/trefoilmill_entry/planned_stop.cc
+++ b/src/trefoilmill_entry/planned_stop.cc
@@ -8,7 +8,7 @@
 
 /// How often a process that no longer accepts connections checks whether it may
 /// end.
-constexpr duration kIdleCheckInterval = std::chrono::milliseconds(50);
+constexpr duration kIdleCheckInterval = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -36,19 +36,34 @@
 
 void planned_stop::EndWhenIdle() {
   const time_point now = loop_.Now();
+  if (now >= schedule_->answer_by) {
+    // A late loop may run this before the requests' own timers.
+    requests_.AnswerBy(now);
+  }
   for (http_server* server : servers_) {
     server->CloseIdleConnections(now);
   }
-  // A connection stays open until its answer is written, so that the answer is
-  // not lost with the process.
-  const bool idle = requests_.unanswered() == 0 && !HasOpenConnections();
-  if (idle || now >= schedule_->end_by) {
+  if (MayEnd(now)) {
     on_end_();
     return;
   }
   next_step_ = loop_.RunAfter(kIdleCheckInterval, [this] { EndWhenIdle(); });
 }
 
+bool planned_stop::MayEnd(time_point now) const {
+  // A connection stays open until its answer is written, so that the answer is
+  // not lost with the process.
+  const bool idle = requests_.unanswered() == 0 && !HasOpenConnections();
+  const bool time_is_up = now >= schedule_->end_by && !HasUnsentAnswers();
+  return idle || time_is_up || now >= schedule_->write_until;
+}
+
+bool planned_stop::HasUnsentAnswers() const {
+  return std::ranges::any_of(servers_, [](const http_server* server) {
+    return server->unsent_connections() > 0;
+  });
+}
+
 bool planned_stop::HasOpenConnections() const {
   return std::ranges::any_of(servers_, [](const http_server* server) {
     return server->is_accepting() || server->open_connections() > 0;
--- a/src/trefoilmill_entry/planned_stop.h
+++ b/src/trefoilmill_entry/planned_stop.h
@@ -14,7 +14,7 @@
 namespace trefoilmill::entry {
 
 /// Serves callers until the time to stop accepting, and ends the process when
-/// every request is answered and every answer written, or when time is up.
+/// no connection of a caller is open any more, or when time is up.
 class planned_stop {
  public:
   /// `servers` are those that callers connect to. `on_end` is called once, when
@@ -34,6 +34,9 @@
   /// else checks again later.
   void EndWhenIdle();
   bool HasOpenConnections() const;
+  bool HasUnsentAnswers() const;
+  /// Whether the process is to end now.
+  bool MayEnd(time_point now) const;
 
   event_loop& loop_;
   std::vector<http_server*> servers_;
