--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -300,6 +300,8 @@
   if (stop_->begun()) {
     return;
   }
+  // The grace time may have changed without a signal.
+  ReloadSettings();
   stop_->Begin(loop_.Now(), settings_.grace);
   telemetry_.log->Info(
       log_message::kToldToStop,
