--- a/src/trefoilmilld/admin_server.h
+++ b/src/trefoilmilld/admin_server.h
@@ -3,6 +3,7 @@
 #ifndef TREFOILMILLD_ADMIN_SERVER_H_
 #define TREFOILMILLD_ADMIN_SERVER_H_
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +41,11 @@
       const daemon_settings& settings,
       const admin_view& view);
 
+  /// Operators' requests that have no answer yet.
+  std::size_t requests_in_progress() const {
+    return server_->requests_in_progress();
+  }
+
  private:
   explicit admin_server(const admin_view& view);
 
--- a/src/trefoilmilld/daemon.cc
+++ b/src/trefoilmilld/daemon.cc
@@ -41,8 +41,15 @@
   if (auto listening = made->Listen(settings); !listening.has_value()) {
     return std::move(listening).error();
   }
-  loop.OnSignal(SIGTERM, [self = made.get()] {
-    self->Perform(self->lifecycle_.Terminate(self->loop_.Now()));
+  for (const int signal_number : {SIGTERM, SIGINT}) {
+    loop.OnSignal(signal_number, [self = made.get()] {
+      self->Perform(self->lifecycle_.Terminate(self->loop_.Now()));
+    });
+  }
+  // Settings are read at the start only; without a handler the signal would end
+  // the process.
+  loop.OnSignal(SIGHUP, [self = made.get()] {
+    self->trace_->Record({.kind = "sighup_ignored"});
   });
   return made;
 }
@@ -204,9 +211,9 @@
 }
 
 void daemon_process::CountInProgress() {
-  const std::size_t count = callers_->requests_in_progress() +
-                            entry_->in_progress() + owner_->in_progress() +
-                            claims_->in_progress();
+  const std::size_t count =
+      callers_->requests_in_progress() + admin_->requests_in_progress() +
+      entry_->in_progress() + owner_->in_progress() + claims_->in_progress();
   const bool uses_endpoints =
       !fleet_->OwnEndpoints().empty() || owner_->in_progress() > 0;
   Perform(lifecycle_.SetUsesEndpoints(loop_.Now(), uses_endpoints));
