Planned stop: less is refused as too slow to finish

The admission's margin (expected latency at most 0.4 of the time left) was meant for objectives; a stopping host refused requests that it could have served. It now takes what has twice its expected latency left.

--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -21,6 +21,10 @@
 constexpr int kMaxDeferralObjectives = 4;
 /// How often a deferred request checks whether the load has fallen.
 constexpr duration kDeferralInterval = std::chrono::milliseconds(25);
+/// A stopping host takes a request if this multiple of its expected latency is
+/// left: what it refuses, other hosts can serve, and what it takes too late may
+/// run without an answer.
+constexpr int kStopSafetyFactor = 2;
 /// Minimum time before the answer deadline for a first send or a retry.
 constexpr duration kMinTimeToSend = std::chrono::milliseconds(2);
 
@@ -135,8 +139,13 @@
 
 bool request_run::StopsTooSoon(time_point now,
                                const shared_request_state& shared) const {
-  return limited_by_stop_ && !deadline_admission::IsSafe(
-                                 Prospect(now, shared, answer_deadline_ - now));
+  if (!limited_by_stop_) {
+    return false;
+  }
+  const duration left = answer_deadline_ - now;
+  const auto latency =
+      deadline_admission::LatencyForCoverage(Prospect(now, shared, left));
+  return !latency.has_value() || *latency * kStopSafetyFactor > left;
 }
 
 void request_run::LimitAnswerDeadline(time_point answer_by) {
