Soak fleet: more faults, zones, and the store as its own process

A soak with overlapping faults needs more than the fleet of the lost requests offered.

Change: the store's stand-in runs as a process of its own and can be slow; endpoints reset, refuse, ask for a pause, leave, and get another instance ID; they and the hosts are spread over three zones; callers record the answer's content and some give up; one route must not run twice, one exists in a single version only. Logs of hosts can be kept.

--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -61,8 +61,9 @@
 class Host:
     """One entry process."""
 
-    def __init__(self, network, number, **changes):
-        """`changes` replace settings."""
+    def __init__(self, network, number, directory=None, **changes):
+        """`changes` replace settings. The log is kept in `directory`, if it is
+        given."""
         self.ip = f"{network}.1.{number}"
         self.name = f"front-{number}"
         settings = {
@@ -72,10 +73,13 @@
             "store": f"{network}.0.1:{STORE_PORT}",
             "seeds": [f"{network}.1.1:8224", f"{network}.1.2:8224"],
             "grace_s": 3, "drain_ms": 3000} | changes
-        file = tempfile.NamedTemporaryFile("w", suffix=".jsonc", delete=False)
+        file = tempfile.NamedTemporaryFile("w", suffix=".jsonc", dir=directory,
+                                           delete=False)
         with file:
             file.write("// a comment\n" + json.dumps(settings))
-        self.log = tempfile.NamedTemporaryFile("w+", suffix=".log")
+        self.log = tempfile.NamedTemporaryFile(
+            "w+", prefix=f"{self.name}-", suffix=".log", dir=directory,
+            delete=directory is None)
         self.process = subprocess.Popen(
             [BIN / "trefoilmill_entry"], stdout=self.log,
             env={**os.environ, "TREFOILMILL_CONFIG": file.name})
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -21,9 +21,16 @@
         self._objects = {}
         self._events = []
         self.down = False
+        # Added to each reply.
+        self.delay_s = 0.0
         self.calls = 0
         self.era = 1
 
+    def configure(self, **attributes):
+        """Sets `down` or `delay_s`."""
+        for name, value in attributes.items():
+            setattr(self, name, value)
+
     def backup(self):
         """Returns a copy of the content, for restore()."""
         with self._lock:
@@ -144,6 +151,7 @@
     """Serves the platform's store."""
     def respond(request, body):
         store.calls += 1
+        time.sleep(store.delay_s)
         if store.down:
             return 503, {}, b""
         era = {"Store-Era": str(store.era)}
--- a/scripts/lib/soak_callers.py
+++ b/scripts/lib/soak_callers.py
@@ -18,6 +18,10 @@
 # Of a caller that reads slowly: its receive buffer, and how much it reads at once.
 RECEIVE_BUFFER_BYTES = 8192
 READ_BYTES = 65536
+# A caller that gives up does so within this time.
+GIVES_UP_WITHIN_S = 0.4
+# Longer answers are recorded by their size only.
+RECORDED_BYTES = 512
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,6 +32,7 @@
     deadline_s: float
     # Longest pause between an answer and the next request.
     pause_s: float
+    method: str = "GET"
 
 
 @dataclasses.dataclass
@@ -42,9 +47,18 @@
     ended: float = 0.0
     status: int = 0
     headers: dict = dataclasses.field(default_factory=dict)
-    # "answer", "not_connected", "closed" (no or no whole answer), "deadline".
+    # The answer's size in bytes, and its content in hexadecimal if it is short.
+    size: int = 0
+    body: str = ""
+    # "answer", "not_connected", "closed" (no or no whole answer), "deadline",
+    # "gave_up" (before the deadline).
     end: str = "closed"
 
+    def set_answer(self, body):
+        self.end = "answer"
+        self.size = len(body)
+        self.body = body.hex() if len(body) <= RECORDED_BYTES else ""
+
 
 def _note_sent():
     """Notes in each attempt when its request was written to the socket."""
@@ -61,29 +75,28 @@
             "Trefoilmill-Deadline-Ms": str(int(1000 * kind.deadline_s))}
 
 
-def read_slowly(host, port, kind, identity, read_s):
-    """One attempt whose answer is read in small steps over `read_s` seconds."""
+def ask_once(host, port, kind, identity, read_s=0.0):
+    """One attempt on a connection of its own. The answer is read in small steps
+    over `read_s` seconds."""
     attempt = Attempt(identity, kind.name, host, time.monotonic())
     connection = http.client.HTTPConnection(host, port)
     connection.sock = socket.socket()
+    connection.sock.settimeout(kind.deadline_s)
     connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                                RECEIVE_BUFFER_BYTES)
     try:
         connection.sock.connect((host, port))
-        connection.request("GET", kind.path,
+        connection.request(kind.method, kind.path,
                            headers=request_headers(identity, kind))
         attempt.sent = time.monotonic()
         reply = connection.getresponse()
         attempt.status = reply.status
         attempt.headers = dict(reply.getheaders())
-        steps = max(1, reply.length // READ_BYTES)
-        while reply.length:
-            if not reply.read(min(READ_BYTES, reply.length)):
-                raise http.client.IncompleteRead(b"", reply.length)
-            time.sleep(read_s / steps)
-        attempt.end = "answer"
+        attempt.set_answer(_read_in_steps(reply, read_s))
     except ConnectionRefusedError:
         attempt.end = "not_connected"
+    except TimeoutError:
+        attempt.end = "deadline"
     except (http.client.HTTPException, OSError):
         attempt.end = "closed"
     finally:
@@ -92,16 +105,31 @@
     return dataclasses.asdict(attempt)
 
 
+def _read_in_steps(reply, read_s):
+    body = b""
+    steps = max(1, reply.length // READ_BYTES)
+    while reply.length:
+        part = reply.read(min(READ_BYTES, reply.length))
+        if not part:
+            raise http.client.IncompleteRead(body, reply.length)
+        body += part
+        time.sleep(read_s / steps)
+    return body
+
+
 class Callers:
-    """The process of `count` callers; each keeps to one kind of request."""
+    """The process of `count` callers; each keeps to one kind of request, and
+    gives up a share of them before the deadline."""
 
-    def __init__(self, hosts, port, kinds, count, seed, record_file):
+    def __init__(self, hosts, port, kinds, count, seed, record_file, *,
+                 given_up=0.0):
         self._hosts = hosts
         self._port = port
         self._kinds = kinds
         self._count = count
         self._seed = seed
         self._record_file = record_file
+        self._given_up = given_up
         self._stopping = multiprocessing.Event()
         self.process = multiprocessing.Process(target=self._run, daemon=True)
 
@@ -130,7 +158,11 @@
                 connector=connector, trace_configs=[_note_sent()]) as session:
             while not self._stopping.is_set():
                 identity = f"{rng.getrandbits(64):016x}"
-                attempt = await self._attempt(session, identity, kind, host)
+                patience_s = kind.deadline_s
+                if rng.random() < self._given_up:
+                    patience_s = rng.uniform(0, GIVES_UP_WITHIN_S)
+                attempt = await self._attempt(session, identity, kind, host,
+                                              patience_s)
                 self._records.write(
                     json.dumps(dataclasses.asdict(attempt)) + "\n")
                 if attempt.end == "not_connected":
@@ -138,22 +170,22 @@
                     await asyncio.sleep(rng.uniform(0, AVOID_S))
                 await asyncio.sleep(rng.uniform(0, kind.pause_s))
 
-    async def _attempt(self, session, identity, kind, host):
+    async def _attempt(self, session, identity, kind, host, patience_s):
         attempt = Attempt(identity, kind.name, host, time.monotonic())
         try:
-            async with session.get(
-                    f"http://{host}:{self._port}{kind.path}",
+            async with session.request(
+                    kind.method, f"http://{host}:{self._port}{kind.path}",
                     headers=request_headers(identity, kind),
-                    timeout=aiohttp.ClientTimeout(kind.deadline_s),
+                    timeout=aiohttp.ClientTimeout(patience_s),
                     trace_request_ctx=attempt) as reply:
                 attempt.status = reply.status
                 attempt.headers = dict(reply.headers)
-                await reply.read()
-                attempt.end = "answer"
+                attempt.set_answer(await reply.read())
         except aiohttp.ClientConnectorError:
             attempt.end = "not_connected"
         except asyncio.TimeoutError:
-            attempt.end = "deadline"
+            attempt.end = ("deadline" if patience_s == kind.deadline_s
+                           else "gave_up")
         except (aiohttp.ClientError, OSError):
             attempt.end = "closed"
         attempt.ended = time.monotonic()
--- a/scripts/lib/soak_endpoints.py
+++ b/scripts/lib/soak_endpoints.py
@@ -17,13 +17,25 @@
 class Endpoint:
     """What one endpoint is and does."""
     name: str
+    service: str
+    zone: str
     port: int
-    records: bytes
+    body: bytes
     work_s: float
+    # Its ID in the store; another one after each restart.
+    instance: str
     # Work takes this many times longer.
     slowness: float = 1.0
     # Takes requests and never answers.
     silent: bool = False
+    # Runs requests and resets the connection in place of an answer.
+    resetting: bool = False
+    # Runs nothing.
+    refusing: bool = False
+    # Runs nothing, and asks for a pause of this length.
+    pause_s: float = 0.0
+    # Says so in each answer.
+    leaving: bool = False
 
 
 class Endpoints:
@@ -34,6 +46,7 @@
         self._control_port = control_port
         self._endpoints = {endpoint.name: endpoint for endpoint in endpoints}
         self._record_file = record_file
+        self._under_way = 0
         self.process = multiprocessing.Process(target=self._run, daemon=True)
 
     def start(self):
@@ -60,7 +73,10 @@
         await web.TCPSite(runner, self._ip, port).start()
 
     async def _control(self, request):
-        """Sets attributes of the endpoint named in the path."""
+        """Sets attributes of the endpoint named in the path; GET answers how
+        many requests are under way."""
+        if request.method == "GET":
+            return web.Response(text=str(self._under_way))
         endpoint = self._endpoints[request.path.strip("/")]
         for name, value in (await request.json()).items():
             setattr(endpoint, name, value)
@@ -68,28 +84,48 @@
 
     def _handler(self, endpoint):
         async def handle(request):
-            arrived = time.monotonic()
-            identity = request.headers["Trefoilmill-Request-Id"]
-            result = "cut"
+            arrival = {"endpoint": endpoint.name,
+                       "instance": request.headers.get(
+                           "Trefoilmill-Expect-Instance", endpoint.instance),
+                       "id": request.headers["Trefoilmill-Request-Id"],
+                       "host_ip": request.remote, "arrived": time.monotonic(),
+                       "ran": False, "result": "cut", "leaving": False,
+                       "pause_s": 0.0}
+            self._under_way += 1
             try:
-                response = await self._respond(endpoint, identity, request)
-                result = str(response.status)
+                response = await self._respond(endpoint, arrival, request)
+                arrival["result"] = str(response.status)
                 return response
             finally:
-                self._records.write(json.dumps({
-                    "endpoint": endpoint.name, "id": identity,
-                    "host_ip": request.remote, "arrived": arrived,
-                    "ended": time.monotonic(), "result": result}) + "\n")
+                self._under_way -= 1
+                arrival["ended"] = time.monotonic()
+                self._records.write(json.dumps(arrival) + "\n")
         return handle
 
-    async def _respond(self, endpoint, identity, request):
-        expected = request.headers.get("Trefoilmill-Expect-Instance")
-        if expected not in (None, endpoint.name):
+    async def _respond(self, endpoint, arrival, request):
+        response = await self._answer(endpoint, arrival, request)
+        if endpoint.leaving:
+            arrival["leaving"] = True
+            response.headers["Server-Leaving"] = "1"
+        return response
+
+    async def _answer(self, endpoint, arrival, request):
+        if arrival["instance"] != endpoint.instance:
             return web.Response(status=421, headers=NOT_EXECUTED)
+        if endpoint.pause_s:
+            arrival["pause_s"] = endpoint.pause_s
+            return web.Response(status=503, headers=NOT_EXECUTED | {
+                "Retry-After": str(endpoint.pause_s)})
+        if endpoint.refusing:
+            return web.Response(status=503, headers=NOT_EXECUTED)
+        instance = endpoint.instance
+        arrival["ran"] = True
         if endpoint.silent:
             while request.transport is not None:
                 await asyncio.sleep(0.05)
         await asyncio.sleep(endpoint.work_s * endpoint.slowness)
-        return web.Response(body=endpoint.records, headers={
-            "Trefoilmill-Request-Id": identity,
-            "Trefoilmill-Server-Stamp": f"{endpoint.name}.{identity}"})
+        if endpoint.resetting and request.transport is not None:
+            request.transport.abort()
+        return web.Response(body=endpoint.body, headers={
+            "Trefoilmill-Request-Id": arrival["id"],
+            "Trefoilmill-Server-Stamp": f"{instance}.{arrival['id']}"})
