--- /dev/null
+++ b/scripts/lib/soak_record.py
@@ -0,0 +1,114 @@
+"""What callers, endpoints and the operator of a soak saw, and what follows from it
+about each process of a host."""
+
+import collections
+import dataclasses
+import json
+import math
+
+# A process that was paused is excused until this long after it went on.
+EXCUSED_S = 3.0
+
+
+@dataclasses.dataclass
+class Life:
+    """One process of a host, from its start to its end."""
+    host: str
+    started: float
+    told: float = math.inf
+    ended: float = math.inf
+    exit_status: int = None
+    killed: bool = False
+    # Begin and end of each pause.
+    pauses: list = dataclasses.field(default_factory=list)
+
+    def undisturbed(self, begin, end):
+        """Whether it ran all that time, and was not paused shortly before."""
+        return (self.started <= begin and end <= self.ended and
+                not any(paused <= end and begin <= resumed + EXCUSED_S
+                        for paused, resumed in self.pauses))
+
+
+def _follow(lives, event):
+    """Applies one event of the operator to the lives of its host, by time."""
+    at, name = event["at"], event["event"]
+    if name == "started":
+        lives.append(Life(event["host"], at))
+        return
+    life = lives[-1]
+    if name == "told":
+        life.told = at
+    elif name == "killed":
+        life.killed = True
+    elif name == "paused":
+        life.pauses.append([at, math.inf])
+    elif name == "resumed":
+        life.pauses[-1][1] = at
+    elif name == "ended":
+        life.ended, life.exit_status = at, event["exit_status"]
+
+
+class Record:
+    """All that a soak's checks read."""
+
+    def __init__(self, attempts, arrivals, events):
+        self.attempts = attempts
+        self.arrivals = arrivals
+        self._events = collections.defaultdict(list)
+        self._lives = collections.defaultdict(list)
+        for event in sorted(events, key=lambda event: event["at"]):
+            self._events[event["event"]].append(event)
+            if "host" in event:
+                _follow(self._lives[event["host"]], event)
+        self.endpoints = {event["name"]: event
+                          for event in self.events("endpoint")}
+        # By request ID.
+        self.arrivals_of = collections.defaultdict(list)
+        for arrival in arrivals:
+            self.arrivals_of[arrival["id"]].append(arrival)
+
+    def events(self, name):
+        """The operator's events of one name, by time."""
+        return self._events[name]
+
+    @property
+    def lives(self):
+        return [life for lives in self._lives.values() for life in lives]
+
+    def life(self, host, at):
+        """The process of a host at that time, or None."""
+        return next((life for life in self._lives[host]
+                     if life.started <= at <= life.ended), None)
+
+    def runs_of(self, identity):
+        """Arrivals of a request that an endpoint ran or began to run."""
+        return [arrival for arrival in self.arrivals_of[identity]
+                if arrival["ran"]]
+
+    def known_since(self, life, written, at):
+        """From when `life` had to know what was acknowledged at each of the times
+        `written`, as of `at`; None if it did not have to. A process that started
+        later has only what the store shows, which a restored store may lack."""
+        if not written or written[0] > at:
+            return None
+        if life.started <= written[0]:
+            return written[0]
+        latest = max(time for time in written if time <= at)
+        if any(latest <= event["at"] <= at
+               for event in self.events("store_restored")):
+            return None
+        return max(latest, life.started)
+
+
+def read_lines(file):
+    with open(file) as lines:
+        return [json.loads(line) for line in lines]
+
+
+def read_record(directory):
+    """Reads what a soak has left in its directory."""
+    attempts = [row for file in sorted(directory.glob("callers-*.jsonl"))
+                for row in read_lines(file)]
+    return Record(attempts + read_lines(directory / "probes.jsonl"),
+                  read_lines(directory / "endpoints.jsonl"),
+                  read_lines(directory / "operator.jsonl"))
