--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import tempfile
 import time
@@ -20,12 +21,12 @@
 FRONT, READY, DIRECTORY, PEERS = 8226, 8227, 8225, 7740
 
 
-def eventually(what, check):
+def eventually(what, check, poll_s=0.05):
     until = time.monotonic() + LIMIT_S
     while not check():
         if time.monotonic() > until:
             raise AssertionError(f"never: {what}")
-        time.sleep(0.05)
+        time.sleep(poll_s)
 
 
 def call(ip, port, path, headers=None, method="GET", body=None):
@@ -84,6 +85,14 @@
             [BIN / "trefoilmill_entry"], stdout=self.log,
             env={**os.environ, "TREFOILMILL_CONFIG": file.name})
 
+    def holds_signals(self):
+        """Whether SIGTERM is held back or handled, which begins with main().
+        Until then it ends any process."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        masks = [int(line.split()[1], 16) for line in status.splitlines()
+                 if line.startswith(("SigBlk:", "SigCgt:"))]
+        return any(mask >> (signal.SIGTERM - 1) & 1 for mask in masks)
+
     def ready(self):
         return call(self.ip, READY, "/trefoilmill/ready")[0] == 200
 
