Soak: links of single hosts to the store fail

A host that alone loses the store hears of changes from its peers only; no soak tried that.

Change: scripts/soak puts tm_fault_proxy between each host and the store; links of at most half of the hosts stall, are refused, reset or delayed.

--- a/scripts/lib/soak_fleet.py
+++ b/scripts/lib/soak_fleet.py
@@ -10,6 +10,7 @@
 import entry_fleet
 from soak_callers import Callers, RequestKind
 from soak_endpoints import Endpoint, Endpoints
+from soak_links import StoreLinks
 from soak_store import StoreProcess
 
 ZONES = ("perth", "bunbury", "northam")
@@ -85,9 +86,10 @@
 
 
 class SoakFleet:
-    """Entry hosts `network`.1.1 and up; endpoints on `network`.2.1."""
+    """Entry hosts `network`.1.1 and up; endpoints on `network`.2.1. With
+    `store_links` each host reaches the store through a link of its own."""
 
-    def __init__(self, network, hosts, directory, grace_s):
+    def __init__(self, network, hosts, directory, grace_s, store_links):
         self.network = network
         self.grace_s = grace_s
         self._directory = pathlib.Path(directory)
@@ -105,6 +107,8 @@
         for endpoint in self.endpoints.values():
             self.store.put("servers", endpoint.instance, self.entry(endpoint))
         self.store.put("config", "main", configuration(1))
+        self.links = (StoreLinks(network, range(1, hosts + 1),
+                                 self._directory) if store_links else None)
         self.hosts = {}
         for number in range(1, hosts + 1):
             self.start_host(number)
@@ -137,9 +141,10 @@
                 "born": int(1000 * time.monotonic())}
 
     def start_host(self, number):
+        link = {"store": self.links.address(number)} if self.links else {}
         self.hosts[number] = entry_fleet.Host(
             self.network, number, self._directory, grace_s=self.grace_s,
-            availability_zone=ZONES[number % len(ZONES)])
+            availability_zone=ZONES[number % len(ZONES)], **link)
         return self.hosts[number]
 
     def endpoints_of(self, service):
@@ -195,17 +200,19 @@
                 host.process.kill()
             host.process.wait()
         self._endpoint_process.stop()
+        if self.links:
+            self.links.stop()
         self._store_process.stop()
 
 
 @contextlib.contextmanager
-def running(network, hosts, grace_s, directory=None):
+def running(network, hosts, grace_s, directory=None, *, store_links=False):
     """A fleet whose records go to `directory`, by default one that is deleted
     afterwards."""
     with contextlib.ExitStack() as stack:
         if directory is None:
             directory = stack.enter_context(
                 tempfile.TemporaryDirectory(prefix="trefoilmill-soak-"))
-        fleet = SoakFleet(network, hosts, directory, grace_s)
+        fleet = SoakFleet(network, hosts, directory, grace_s, store_links)
         stack.callback(fleet.stop)
         yield fleet
--- a/scripts/lib/soak_operator.py
+++ b/scripts/lib/soak_operator.py
@@ -13,11 +13,14 @@
 import entry_fleet
 import soak_callers
 import soak_fleet
+import soak_plan
 
 # A write is known to some host before the store's next fault or write.
 SETTLED_S = 1.0
 # When the operator writes again what a restored store has lost.
 WRITTEN_AGAIN_AFTER_S = 1.0
+WHOLE_LINK = {"stall": "none", "refuse": False, "reset_share": 0.0,
+              "delay_ms": 0}
 PROBE_PAUSE_S = 0.1
 SIGNALS_POLL_S = 0.001
 # Whole answers in a row by which a host counts as recovered.
@@ -120,6 +123,17 @@
     def _reload(self, number):
         self._fleet.hosts[number].process.send_signal(signal.SIGHUP)
 
+    # Links to the store.
+
+    def _break_links(self, numbers, fault, for_s):
+        for number in numbers:
+            self._note("link_broken", host=self._fleet.hosts[number].ip)
+            self._fleet.links.change(number, **soak_plan.LINK_FAULTS[fault])
+        time.sleep(for_s)
+        for number in numbers:
+            self._fleet.links.change(number, **WHOLE_LINK)
+            self._note("link_mended", host=self._fleet.hosts[number].ip)
+
     # Endpoints.
 
     def _change_endpoints(self, endpoints, for_s, attribute, value, normal):
--- a/scripts/lib/soak_plan.py
+++ b/scripts/lib/soak_plan.py
@@ -13,6 +13,9 @@
 ENDPOINT_FAULTS = {"slow": 2, "silent": 1, "reset": 1, "refuse": 2, "ask_pause": 2}
 OPERATOR_STEPS = {"configure": 4, "drain": 2, "leave": 1, "zone_out": 1,
                   "store_down": 1, "store_slow": 1, "store_restore": 1}
+# Of a host's link to the store.
+LINK_FAULTS = {"stall": {"stall": "both"}, "refuse": {"refuse": True, "cut": True},
+               "reset": {"reset_share": 0.3}, "delay": {"delay_ms": 300}}
 # Lanes of endpoint faults; each has the replicas of its own number.
 ENDPOINT_LANES = 3
 FAULTY_SERVICES = (*soak_fleet.SHARDS, soak_fleet.LEDGER, soak_fleet.BOOKING)
@@ -41,6 +44,7 @@
     lanes += [_endpoint_lane(rng, number, seconds)
               for number in range(ENDPOINT_LANES)]
     lanes.append(_operator_lane(rng, seconds))
+    lanes.append(_link_lane(rng, hosts, seconds))
     lanes += _herds(rng, hosts, seconds)
     return sorted((step for lane in lanes for step in lane),
                   key=lambda step: (step.at_s, step.lane))
@@ -100,6 +104,18 @@
         at += for_s + _uniform(rng, 0.2, 2)
 
 
+def _link_lane(rng, hosts, seconds):
+    """Links of at most half of the hosts to the store fail at once."""
+    at = _uniform(rng, 0.5, 3)
+    while at < seconds:
+        arguments = {"numbers": rng.sample(range(1, hosts + 1),
+                                           rng.randint(1, max(1, hosts // 2))),
+                     "fault": rng.choice(list(LINK_FAULTS)),
+                     "for_s": _uniform(rng, 0.5, 6)}
+        yield Step(at, "links", "break_links", arguments)
+        at += arguments["for_s"] + _uniform(rng, 0.5, 4)
+
+
 def _operator_lane(rng, seconds):
     """What the operator does; also the store's faults, as nothing can be written
     during them."""
--- a/scripts/lib/soak_record.py
+++ b/scripts/lib/soak_record.py
@@ -56,9 +56,15 @@
         self.arrivals = arrivals
         self._events = collections.defaultdict(list)
         self._lives = collections.defaultdict(list)
+        # Begin and end of each fault of a host's link to the store.
+        self._link_faults = collections.defaultdict(list)
         for event in sorted(events, key=lambda event: event["at"]):
             self._events[event["event"]].append(event)
-            if "host" in event:
+            if event["event"] == "link_broken":
+                self._link_faults[event["host"]].append([event["at"], math.inf])
+            elif event["event"] == "link_mended":
+                self._link_faults[event["host"]][-1][1] = event["at"]
+            elif "host" in event:
                 _follow(self._lives[event["host"]], event)
         self.endpoints = {event["name"]: event
                           for event in self.events("endpoint")}
@@ -85,6 +91,18 @@
         return [arrival for arrival in self.arrivals_of[identity]
                 if arrival["ran"]]
 
+    def _reaches_store(self, life, begin, end):
+        """Whether it ran and its link to the store was whole all that time."""
+        return life.undisturbed(begin, end) and not any(
+            broken <= end and begin <= mended
+            for broken, mended in self._link_faults[life.host])
+
+    def _told_to_some(self, since):
+        """Whether some host was sure to hear what was written then; the others
+        hear it from it."""
+        return any(self._reaches_store(life, since, since + EXCUSED_S)
+                   for life in self.lives)
+
     def known_since(self, life, written, at):
         """From when `life` had to know what was acknowledged at each of the times
         `written`, as of `at`; None if it did not have to. A process that started
@@ -92,12 +110,14 @@
         if not written or written[0] > at:
             return None
         if life.started <= written[0]:
-            return written[0]
-        latest = max(time for time in written if time <= at)
-        if any(latest <= event["at"] <= at
-               for event in self.events("store_restored")):
-            return None
-        return max(latest, life.started)
+            since = written[0]
+        else:
+            latest = max(time for time in written if time <= at)
+            if any(latest <= event["at"] <= at
+                   for event in self.events("store_restored")):
+                return None
+            since = max(latest, life.started)
+        return since if self._told_to_some(since) else None
 
 
 def read_lines(file):
