--- a/scripts/lib/soak_callers.py
+++ b/scripts/lib/soak_callers.py
@@ -57,7 +57,12 @@
     def set_answer(self, body):
         self.end = "answer"
         self.size = len(body)
-        self.body = body.hex() if len(body) <= RECORDED_BYTES else ""
+        self.body = recorded(body)
+
+
+def recorded(body):
+    """An answer's content as it is recorded."""
+    return body.hex() if len(body) <= RECORDED_BYTES else ""
 
 
 def _note_sent():
--- a/scripts/lib/soak_operator.py
+++ b/scripts/lib/soak_operator.py
@@ -12,6 +12,7 @@
 
 import entry_fleet
 import soak_callers
+import soak_checks
 import soak_fleet
 import soak_plan
 
@@ -23,10 +24,8 @@
               "delay_ms": 0}
 PROBE_PAUSE_S = 0.1
 SIGNALS_POLL_S = 0.001
-# Whole answers in a row by which a host counts as recovered.
-WHOLE_IN_A_ROW = 5
-RECOVERY_LIMIT_S = 14.0
-QUIET_LIMIT_S = 15.0
+# Past the time by which whole answers must return.
+RECOVERY_LIMIT_S = soak_checks.RECOVERY_S + 2.0
 
 
 class Operator:
@@ -39,7 +38,6 @@
         self._probes = open(directory / "probes.jsonl", "a", buffering=1)
         self._lock = threading.Lock()
         self._version = 1
-        self._zones_out = set()
         # The store's copy, and what was written since; None without a copy.
         self._copy = None
         self._written = []
@@ -47,9 +45,8 @@
         self._whole_in_a_row = dict.fromkeys(fleet.hosts, 0)
         for endpoint in fleet.endpoints.values():
             self._note("endpoint", name=endpoint.name, service=endpoint.service,
-                       size=len(endpoint.body), body=endpoint.body.hex()
-                       if len(endpoint.body) <= soak_callers.RECORDED_BYTES
-                       else "")
+                       size=len(endpoint.body),
+                       body=soak_callers.recorded(endpoint.body))
         for host in fleet.hosts.values():
             self._note("started", host=host.ip)
         self._note("configured", version=1, began=time.monotonic())
@@ -242,13 +239,13 @@
 
     @property
     def recovered(self):
-        return min(self._whole_in_a_row.values()) >= WHOLE_IN_A_ROW
+        return (min(self._whole_in_a_row.values()) >=
+                soak_checks.WHOLE_IN_A_ROW)
 
     def start_probes(self):
-        self._probers = concurrent.futures.ThreadPoolExecutor(
-            len(self._fleet.hosts))
-        for number in self._fleet.hosts:
-            self._probers.submit(self._probe, number)
+        pool = concurrent.futures.ThreadPoolExecutor(len(self._fleet.hosts))
+        self._probers = [pool.submit(self._probe, number)
+                         for number in self._fleet.hosts]
 
     def _probe(self, number):
         """Asks one host for the newest two versions' routes and all shards."""
@@ -277,15 +274,16 @@
         while not self.recovered and time.monotonic() < until:
             time.sleep(PROBE_PAUSE_S)
         self._probing.set()
-        self._probers.shutdown()
+        for prober in self._probers:
+            prober.result()
         with concurrent.futures.ThreadPoolExecutor(
                 len(self._fleet.hosts)) as pool:
             list(pool.map(self._tell, self._fleet.hosts, itertools.repeat(())))
 
     def wait_for_quiet(self):
         """Waits until no endpoint has a request: then all are recorded."""
-        until = time.monotonic() + QUIET_LIMIT_S
-        while self._fleet.requests_under_way() and time.monotonic() < until:
-            time.sleep(PROBE_PAUSE_S)
+        entry_fleet.eventually(
+            "endpoints have no request",
+            lambda: self._fleet.requests_under_way() == 0)
         self._events.close()
         self._probes.close()
