--- a/scripts/lib/soak_checks.py
+++ b/scripts/lib/soak_checks.py
@@ -91,6 +91,13 @@
         for a in attempts)
 
 
+def lateness_s(attempts):
+    """How late callers' processes noticed what happened, at most: on loopback a
+    connection is refused at once."""
+    return max((a["ended"] - a["began"] for a in attempts
+                if a["end"] == "not_connected"), default=0.0)
+
+
 def answered_around_stops(record):
     """A request that a host took gets a whole answer, also while it stops."""
     verdict = Verdict("answered around planned stops")
