Soak checks: a killed process is excused though one was stopped before it

Cause: a lost request counts for a stop until 1 s after its end, whichever process had it.

Change: requests sent to a process that is killed are excused, as killed hosts are elsewhere; those of a successor that is not killed still count.

--- a/scripts/lib/soak_checks.py
+++ b/scripts/lib/soak_checks.py
@@ -109,10 +109,19 @@
         stop.host == attempt["host"] and attempt["ended"] >= stop.told and
         attempt["began"] <= stop.ended and attempt["end"] in ("answer", "closed")
         for attempt in record.attempts for stop in stops)
-    verdict.broken = lost_requests(record.attempts, record.arrivals, stops)
+    verdict.broken = lost_requests(
+        [attempt for attempt in record.attempts
+         if not _sent_to_killed(record, attempt)], record.arrivals, stops)
     return verdict
 
 
+def _sent_to_killed(record, attempt):
+    """Whether the process that ran when a request was sent was killed later, as
+    one may be that replaces a stopped one."""
+    life = record.life(attempt["host"], attempt["sent"] or attempt["ended"])
+    return life is not None and life.killed
+
+
 def stops_end_in_time(record):
     """A planned stop ends with status 0 within the grace time."""
     verdict = Verdict("planned stops end in time")
