A caller that is pushed back learns when the pause ends

The request by which a host learns that the last endpoint of a service is on pause has tried all of them, and Select() left out endpoints that were tried: the caller of a single service was told to return after 100 ms, though the endpoints had asked for 2 s. Also when the extra-send budget was exhausted.

endpoint_selector::UsableAgainAt() says when a service without usable endpoints has one again, whichever were tried, and request_run asks it wherever it gives a shard up. It replaces the time in no_usable_endpoint; the two tests of that time ask the new function for the same values. A service of which an endpoint is usable is not on pause: a refusal by that endpoint alone still returns after 100 ms.

--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -58,12 +58,9 @@
   /// There are usable endpoints, but none with an idle connection or, for a
   /// hedge, none of sufficiently low cost.
   struct no_capacity {};
-  /// No endpoint of the service is usable at present.
-  struct no_usable_endpoint {
-    /// When the first endpoint that asked for a pause is usable again; unset if
-    /// none did.
-    std::optional<time_point> usable_at;
-  };
+  /// No endpoint of the service is usable at present, apart from those that
+  /// were excluded.
+  struct no_usable_endpoint {};
   using selection = std::variant<selected, no_capacity, no_usable_endpoint>;
   /// @}
 
@@ -111,6 +108,13 @@
                    duration time_left,
                    purpose send_purpose);
 
+  /// When a service is usable again of which no endpoint is usable now: the end
+  /// of the first pause that an endpoint asked for. Unset if none did, or if an
+  /// endpoint is usable now.
+  std::optional<time_point> UsableAgainAt(time_point now,
+                                          const endpoint_registry& registry,
+                                          const service_id& service) const;
+
   /// Latency to expect of a sub-request to the service's best endpoint, of
   /// which `waiting` others wait for a connection; nullopt if none is usable.
   std::optional<duration> PredictLatency(time_point now,
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -205,7 +205,8 @@
     bool awaiting_capacity = false;
     bool failed = false;
     bool hedged = false;
-    /// When an endpoint of a shard without usable ones ends its pause.
+    /// When a failed shard without usable endpoints has one again, as far as
+    /// known.
     std::optional<time_point> usable_at;
     /// When a next hedge may be sent, once a first one was due. A hedge is not
     /// sent if it finds no endpoint or no budget.
@@ -238,6 +239,11 @@
                 shared_request_state& shared,
                 std::size_t index,
                 actions& out);
+  /// Gives up a shard that cannot be sent again because of `obstacle`.
+  static void FailShard(time_point now,
+                        const shared_request_state& shared,
+                        shard& s,
+                        resend_obstacle obstacle);
   void SendTo(time_point now,
               shared_request_state& shared,
               std::size_t index,
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -148,6 +148,24 @@
          IsUsable(found->second.paused_until, entry);
 }
 
+std::optional<time_point> endpoint_selector::UsableAgainAt(
+    time_point now,
+    const endpoint_registry& registry,
+    const service_id& service) const {
+  std::optional<time_point> first;
+  for (const endpoint_id& id : registry.EndpointsOf(service)) {
+    const endpoint_registry::entry& entry = *registry.Find(id);
+    if (IsUsable(now, entry)) {
+      return std::nullopt;
+    }
+    if (IsOnlyPaused(now, entry)) {
+      const time_point end = stats_.at(id).paused_until;
+      first = std::min(first.value_or(end), end);
+    }
+  }
+  return first;
+}
+
 endpoint_selector::candidate_group endpoint_selector::GroupOf(
     time_point now,
     const endpoint_registry::entry& entry) {
@@ -226,17 +244,12 @@
     purpose send_purpose) {
   bool usable = false;
   bool any_timely = false;
-  std::optional<time_point> usable_at;
   std::vector<candidate> candidates;
   for (const endpoint_id& id : registry.EndpointsOf(service)) {
     const endpoint_registry::entry& entry = *registry.Find(id);
     if (std::ranges::find(excluded, id) != excluded.end()) {
       continue;
     }
-    if (IsOnlyPaused(now, entry)) {
-      const time_point end = stats_.at(id).paused_until;
-      usable_at = std::min(usable_at.value_or(end), end);
-    }
     if (!IsUsable(now, entry)) {
       continue;
     }
@@ -260,8 +273,7 @@
     std::erase_if(candidates, [](const candidate& c) { return !c.timely; });
   }
   if (candidates.empty()) {
-    return usable ? selection(no_capacity{})
-                  : selection(no_usable_endpoint{.usable_at = usable_at});
+    return usable ? selection(no_capacity{}) : selection(no_usable_endpoint{});
   }
   return selected{Draw(std::move(candidates))};
 }
--- a/src/libtrefoilmill/process/endpoint_selector_test.cc
+++ b/src/libtrefoilmill/process/endpoint_selector_test.cc
@@ -236,12 +236,22 @@
   const auto selection =
       selector.Select(now, registry, test_service, {}, kExpectedLatency,
                       kTimeLeft, endpoint_selector::purpose::kFirst);
-  const auto* none =
-      std::get_if<endpoint_selector::no_usable_endpoint>(&selection);
-  BOOST_TEST_REQUIRE(none != nullptr);
-  BOOST_TEST_REQUIRE(none->usable_at.has_value());
-  BOOST_TEST((*none->usable_at >= now + seconds(1)));
-  BOOST_TEST((*none->usable_at <= now + milliseconds(1100)));
+  BOOST_TEST_REQUIRE(
+      std::holds_alternative<endpoint_selector::no_usable_endpoint>(selection));
+  const auto usable_at = selector.UsableAgainAt(now, registry, test_service);
+  BOOST_TEST_REQUIRE(usable_at.has_value());
+  BOOST_TEST((*usable_at >= now + seconds(1)));
+  BOOST_TEST((*usable_at <= now + milliseconds(1100)));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_service_with_a_usable_endpoint_is_not_on_pause,
+                        fixture) {
+  selector.OnPauseRequested(now, endpoint_id("a"), seconds(2));
+  selector.OnPauseRequested(now, endpoint_id("b"), seconds(2));
+  BOOST_TEST(!selector.UsableAgainAt(now, registry, test_service).has_value());
+  // One that is not on pause but unusable says nothing of when it returns.
+  selector.OnConnectFailed(now, endpoint_id("c"));
+  BOOST_TEST(selector.UsableAgainAt(now, registry, test_service).has_value());
 }
 
 // All hosts are told to pause for the same time, by the same endpoint.
@@ -254,11 +264,8 @@
       f.Put(id);
       f.selector.OnPauseRequested(f.now, endpoint_id(id), seconds(2));
     }
-    const auto selection =
-        f.selector.Select(f.now, f.registry, test_service, {}, kExpectedLatency,
-                          kTimeLeft, endpoint_selector::purpose::kFirst);
-    returns.insert(std::get<endpoint_selector::no_usable_endpoint>(selection)
-                       .usable_at.value());
+    returns.insert(
+        f.selector.UsableAgainAt(f.now, f.registry, test_service).value());
   }
   BOOST_TEST(returns.size() == 20U);
 }
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -265,14 +265,20 @@
                                     .objective_deadline = objective_deadline_});
     return;
   }
-  s.failed = true;
-  s.obstacle = resend_obstacle::kNoReplica;
-  s.usable_at =
-      std::get<endpoint_selector::no_usable_endpoint>(selection).usable_at;
+  FailShard(now, shared, s, resend_obstacle::kNoReplica);
   ++counts_.without_endpoint;
   counts_.last_failure = reason_code::kNoReplica;
 }
 
+void request_run::FailShard(time_point now,
+                            const shared_request_state& shared,
+                            shard& s,
+                            resend_obstacle obstacle) {
+  s.failed = true;
+  s.obstacle = obstacle;
+  s.usable_at = shared.selector.UsableAgainAt(now, shared.registry, s.service);
+}
+
 void request_run::SendTo(time_point now,
                          shared_request_state& shared,
                          std::size_t index,
@@ -362,14 +368,12 @@
     return;
   }
   if (!CanRetry(s) || answer_deadline_ - now < kMinTimeToSend) {
-    s.obstacle = resend_obstacle::kAttemptLimit;
-    s.failed = true;
+    FailShard(now, shared, s, resend_obstacle::kAttemptLimit);
     return;
   }
   if (!shared.extra_sends.TrySpend(now, s.service)) {
     ++counts_.budget_refusals;
-    s.obstacle = resend_obstacle::kBudget;
-    s.failed = true;
+    FailShard(now, shared, s, resend_obstacle::kBudget);
     return;
   }
   ++counts_.retries;
--- a/src/libtrefoilmill/request/request_run_test.cc
+++ b/src/libtrefoilmill/request/request_run_test.cc
@@ -227,6 +227,24 @@
   BOOST_TEST((refused->reason == reason_code::kShed));
 }
 
+// The request itself makes the host learn of the pauses.
+BOOST_FIXTURE_TEST_CASE(the_request_that_is_pushed_back_says_until_when,
+                        request_fixture) {
+  shared.selector.OnPauseRequested(now, Endpoint(0, 0),
+                                   std::chrono::seconds(2));
+  Start("/read/1");
+  for (std::size_t sent = 0; sent < 2; ++sent) {
+    BOOST_TEST_REQUIRE(sends.size() == sent + 1);
+    shared.selector.OnPauseRequested(now, sends[sent].endpoint,
+                                     std::chrono::seconds(2));
+    ReportOutcome(request_run::send(sends[sent]),
+                  endpoint_refused{reason_code::kShed});
+  }
+  const auto* refused = AnswerAs<refused_answer>();
+  BOOST_TEST_REQUIRE(refused != nullptr);
+  BOOST_TEST((refused->retry_after >= std::chrono::seconds(2)));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_refusal_after_a_lost_reply_fails_the_request,
                         request_fixture) {
   Start("/read/1");
