A deferred request does not wait for a pause to end

The request of a returned caller that waits, unsent, for the load to fall went on waiting when a shard that it needs was paused by all its endpoints, up to four objectives, and was then refused with the default of 400 ms, whenever the pause ended. It is now refused at the next check, within 25 ms, with the end of the pause as the time to return.

The unit test failed before: no answer 25 ms after the pause began.

--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -160,9 +160,13 @@
     time_point now,
     shared_request_state& shared) {
   actions out;
-  const bool safe = deadline_admission::IsSafe(
-      Prospect(now, shared, route_->objective - kCallerNetworkTime));
-  if (safe) {
+  const deadline_admission::prospect prospect =
+      Prospect(now, shared, route_->objective - kCallerNetworkTime);
+  // With too few usable shards it is refused at once: no fall of the load would
+  // help.
+  const bool is_answerable =
+      deadline_admission::LatencyForCoverage(prospect).has_value();
+  if (!is_answerable || deadline_admission::IsSafe(prospect)) {
     deferred_until_.reset();
     return SendAll(now, shared);
   }
--- a/src/libtrefoilmill/request/request_run_test.cc
+++ b/src/libtrefoilmill/request/request_run_test.cc
@@ -435,4 +435,25 @@
   BOOST_TEST((now - started <= 4 * kObjective + std::chrono::milliseconds(25)));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_deferred_request_does_not_wait_for_a_pause_to_end,
+                        overload_fixture) {
+  ReportAllSlow(4);
+  StartUntilNotSent(kTimeout);
+  ReportAllSlow(4);
+  StartUntilNotSent(kTimeout - std::chrono::milliseconds(100));
+  BOOST_TEST_REQUIRE(!answer.has_value());
+  for (int shard = 0; shard < 2; ++shard) {
+    for (int replica = 0; replica < kReplicas; ++replica) {
+      shared.selector.OnPauseRequested(now, Endpoint(shard, replica),
+                                       std::chrono::seconds(2));
+    }
+  }
+  const time_point paused = now;
+  RunUntil(now + std::chrono::milliseconds(25));
+  const auto* refused = AnswerAs<refused_answer>();
+  BOOST_TEST_REQUIRE(refused != nullptr);
+  BOOST_TEST((now + refused->retry_after >= paused + std::chrono::seconds(2)));
+  BOOST_TEST(sends.empty());
+}
+
 }  // namespace trefoilmill
