Callers return from a pause when it has ended at every host

Each host prolongs an endpoint's pause by up to a tenth, and told refused callers the end of its own. Callers ask any host: those that came back to one whose pause was longer were refused a second time; and the callers of a host came back at the same instant, to whatever had ended its pause first.

Callers are now told a random time within the tenth after the longest that a host may prolong the pause: endpoint_selector::CallersMayReturnAt() replaces UsableAgainAt(). The test of what callers are told asks for times between 1.1 and 1.2 pauses, before 1.0 to 1.1; the test that hosts return at different times finds them with Select(), to the microsecond, and checks that they are within the tenth.

--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -108,12 +108,15 @@
                    duration time_left,
                    purpose send_purpose);
 
-  /// When a service is usable again of which no endpoint is usable now: the end
-  /// of the first pause that an endpoint asked for. Unset if none did, or if an
-  /// endpoint is usable now.
-  std::optional<time_point> UsableAgainAt(time_point now,
-                                          const endpoint_registry& registry,
-                                          const service_id& service) const;
+  /// When callers may return to a service of which no endpoint is usable now:
+  /// the first pause that an endpoint asked for has then ended at all hosts, as
+  /// callers may ask any of them. It is later by a random time, so that callers
+  /// do not all return at once. Unset if no endpoint asked for a pause, or if
+  /// one is usable now.
+  std::optional<time_point> CallersMayReturnAt(
+      time_point now,
+      const endpoint_registry& registry,
+      const service_id& service);
 
   /// Latency to expect of a sub-request to the service's best endpoint, of
   /// which `waiting` others wait for a connection; nullopt if none is usable.
@@ -178,8 +181,12 @@
     /// Backoff after failed connection attempts.
     time_point backoff_until;
     duration backoff{};
-    /// End of the pause that the endpoint asked for.
+    /// End of the pause that the endpoint asked for, as this host prolonged it.
     time_point paused_until;
+    /// When the pause has ended however far a host prolonged it.
+    time_point paused_anywhere_until;
+    /// Length of the pause, as the endpoint asked for it.
+    duration pause{};
   };
 
   /// Endpoints of a group are used only if there is none of a group before it.
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -205,9 +205,9 @@
     bool awaiting_capacity = false;
     bool failed = false;
     bool hedged = false;
-    /// When a failed shard without usable endpoints has one again, as far as
+    /// When callers may return to a failed shard without usable endpoints, if
     /// known.
-    std::optional<time_point> usable_at;
+    std::optional<time_point> callers_return_at;
     /// When a next hedge may be sent, once a first one was due. A hedge is not
     /// sent if it finds no endpoint or no budget.
     std::optional<time_point> next_hedge_at;
@@ -241,7 +241,7 @@
                 actions& out);
   /// Gives up a shard that cannot be sent again because of `obstacle`.
   static void FailShard(time_point now,
-                        const shared_request_state& shared,
+                        shared_request_state& shared,
                         shard& s,
                         resend_obstacle obstacle);
   void SendTo(time_point now,
@@ -277,8 +277,8 @@
                          actions& out);
   void FinishRelayIfDue(time_point now, actions& out);
   void Fail(time_point now, reason_code reason, actions& out);
-  /// When a caller whose request is refused for `reason` may return: when the
-  /// last of the paused shards is usable again, if any is paused.
+  /// When a caller whose request is refused for `reason` may return: when all
+  /// of the paused shards are usable again, if any is paused.
   duration RetryAfter(time_point now, reason_code reason) const;
   void Finish(caller_answer answer, actions& out);
   /// Adds a wake for the next time at which something is due.
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -60,6 +60,8 @@
 constexpr duration kMaxBackoff = std::chrono::milliseconds(2000);
 /// A pause is prolonged by up to this fraction of its length.
 constexpr double kMaxPauseExtension = 0.1;
+/// Callers return over this fraction of the pause once all hosts have.
+constexpr double kCallerReturnSpread = 0.1;
 
 duration Scaled(duration length, double factor) {
   return std::chrono::duration_cast<duration>(
@@ -122,11 +124,13 @@
   if (found == stats_.end()) {
     return;
   }
-  std::uniform_real_distribution<double> extension(1, 1 + kMaxPauseExtension);
-  const auto length = std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(pause) * extension(rng_));
-  found->second.paused_until =
-      std::max(found->second.paused_until, now + length);
+  endpoint_stats& stats = found->second;
+  std::uniform_real_distribution<double> extension(0, kMaxPauseExtension);
+  stats.paused_until =
+      std::max(stats.paused_until, now + Scaled(pause, 1 + extension(rng_)));
+  stats.paused_anywhere_until = std::max(
+      stats.paused_anywhere_until, now + Scaled(pause, 1 + kMaxPauseExtension));
+  stats.pause = pause;
 }
 
 bool endpoint_selector::IsUsable(time_point now,
@@ -148,22 +152,30 @@
          IsUsable(found->second.paused_until, entry);
 }
 
-std::optional<time_point> endpoint_selector::UsableAgainAt(
+std::optional<time_point> endpoint_selector::CallersMayReturnAt(
     time_point now,
     const endpoint_registry& registry,
-    const service_id& service) const {
-  std::optional<time_point> first;
+    const service_id& service) {
+  const endpoint_stats* first = nullptr;
   for (const endpoint_id& id : registry.EndpointsOf(service)) {
     const endpoint_registry::entry& entry = *registry.Find(id);
     if (IsUsable(now, entry)) {
       return std::nullopt;
     }
-    if (IsOnlyPaused(now, entry)) {
-      const time_point end = stats_.at(id).paused_until;
-      first = std::min(first.value_or(end), end);
+    if (!IsOnlyPaused(now, entry)) {
+      continue;
+    }
+    const endpoint_stats& stats = stats_.at(id);
+    if (first == nullptr ||
+        stats.paused_anywhere_until < first->paused_anywhere_until) {
+      first = &stats;
     }
   }
-  return first;
+  if (first == nullptr) {
+    return std::nullopt;
+  }
+  std::uniform_real_distribution<double> spread(0, kCallerReturnSpread);
+  return first->paused_anywhere_until + Scaled(first->pause, spread(rng_));
 }
 
 endpoint_selector::candidate_group endpoint_selector::GroupOf(
--- a/src/libtrefoilmill/process/endpoint_selector_test.cc
+++ b/src/libtrefoilmill/process/endpoint_selector_test.cc
@@ -72,6 +72,21 @@
   }
 };
 
+/// The first time from which on the fixture's service has a usable endpoint;
+/// `from` is one at which it has none, `to` one at which it has.
+time_point UsableFrom(fixture& f, time_point from, time_point to) {
+  while (to - from > duration(1)) {
+    const time_point middle = from + (to - from) / 2;
+    const auto selection = f.selector.Select(
+        middle, f.registry, test_service, {}, kExpectedLatency, kTimeLeft,
+        endpoint_selector::purpose::kFirst);
+    const bool usable =
+        std::holds_alternative<endpoint_selector::selected>(selection);
+    (usable ? to : from) = middle;
+  }
+  return to;
+}
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_CASE(equal_endpoints_share_the_load, fixture) {
@@ -228,7 +243,9 @@
   BOOST_TEST(!CountChoices().contains("a"));
 }
 
-BOOST_FIXTURE_TEST_CASE(a_service_on_pause_says_when_it_is_usable, fixture) {
+// By then every host has ended its pause, each of which is prolonged by up to a
+// tenth.
+BOOST_FIXTURE_TEST_CASE(callers_return_to_a_service_after_all_hosts, fixture) {
   for (const char* id : {"a", "b", "c"}) {
     selector.OnPauseRequested(now, endpoint_id(id),
                               id[0] == 'b' ? seconds(1) : seconds(3));
@@ -238,20 +255,27 @@
                       kTimeLeft, endpoint_selector::purpose::kFirst);
   BOOST_TEST_REQUIRE(
       std::holds_alternative<endpoint_selector::no_usable_endpoint>(selection));
-  const auto usable_at = selector.UsableAgainAt(now, registry, test_service);
-  BOOST_TEST_REQUIRE(usable_at.has_value());
-  BOOST_TEST((*usable_at >= now + seconds(1)));
-  BOOST_TEST((*usable_at <= now + milliseconds(1100)));
+  std::set<time_point> returns;
+  for (int caller = 0; caller < 20; ++caller) {
+    const auto at = selector.CallersMayReturnAt(now, registry, test_service);
+    BOOST_TEST_REQUIRE(at.has_value());
+    BOOST_TEST((*at >= now + milliseconds(1100)));
+    BOOST_TEST((*at <= now + milliseconds(1200)));
+    returns.insert(*at);
+  }
+  BOOST_TEST(returns.size() == 20U);
 }
 
 BOOST_FIXTURE_TEST_CASE(a_service_with_a_usable_endpoint_is_not_on_pause,
                         fixture) {
   selector.OnPauseRequested(now, endpoint_id("a"), seconds(2));
   selector.OnPauseRequested(now, endpoint_id("b"), seconds(2));
-  BOOST_TEST(!selector.UsableAgainAt(now, registry, test_service).has_value());
+  BOOST_TEST(
+      !selector.CallersMayReturnAt(now, registry, test_service).has_value());
   // One that is not on pause but unusable says nothing of when it returns.
   selector.OnConnectFailed(now, endpoint_id("c"));
-  BOOST_TEST(selector.UsableAgainAt(now, registry, test_service).has_value());
+  BOOST_TEST(
+      selector.CallersMayReturnAt(now, registry, test_service).has_value());
 }
 
 // All hosts are told to pause for the same time, by the same endpoint.
@@ -265,9 +289,10 @@
       f.selector.OnPauseRequested(f.now, endpoint_id(id), seconds(2));
     }
     returns.insert(
-        f.selector.UsableAgainAt(f.now, f.registry, test_service).value());
+        UsableFrom(f, f.now + seconds(2), f.now + milliseconds(2201)));
   }
   BOOST_TEST(returns.size() == 20U);
+  BOOST_TEST((*returns.rbegin() <= fixture().now + milliseconds(2200)));
 }
 
 // It may have announced that to the store long before, so that it is not known
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -275,12 +275,13 @@
 }
 
 void request_run::FailShard(time_point now,
-                            const shared_request_state& shared,
+                            shared_request_state& shared,
                             shard& s,
                             resend_obstacle obstacle) {
   s.failed = true;
   s.obstacle = obstacle;
-  s.usable_at = shared.selector.UsableAgainAt(now, shared.registry, s.service);
+  s.callers_return_at =
+      shared.selector.CallersMayReturnAt(now, shared.registry, s.service);
 }
 
 void request_run::SendTo(time_point now,
--- a/src/libtrefoilmill/request/request_run_answer.cc
+++ b/src/libtrefoilmill/request/request_run_answer.cc
@@ -147,14 +147,14 @@
     // Other hosts can serve the request at once.
     return duration::zero();
   }
-  std::optional<time_point> usable_at;
+  std::optional<time_point> return_at;
   for (const shard& s : shards_) {
-    if (s.failed && s.usable_at.has_value()) {
-      usable_at = std::max(usable_at.value_or(now), *s.usable_at);
+    if (s.failed && s.callers_return_at.has_value()) {
+      return_at = std::max(return_at.value_or(now), *s.callers_return_at);
     }
   }
-  if (usable_at.has_value()) {
-    return std::max(*usable_at - now, kShedRetryAfter);
+  if (return_at.has_value()) {
+    return std::max(*return_at - now, kShedRetryAfter);
   }
   return reason == reason_code::kShed ? kShedRetryAfter : kDefaultRetryAfter;
 }
