Replay of a whole shard that asks for a pause

Nothing played how hosts and callers behave when every endpoint of a shard answers 503 with a pause, at 1.5 times the usual load. The simulation of overload_replay_test gets endpoints that push back, routes that need every shard or one shard alone, and observers of arrivals and answers; what it draws for the existing replay stays the same.

--- a/src/libtrefoilmill/request/endpoint_simulation_test.h
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -1,7 +1,7 @@
 /// Simulation of hosts, endpoints and callers around the deciders of a request,
-/// on a clock of its own: endpoints with slots, a queue, pauses and slowness;
-/// hosts with connections of their own; callers that return once after a
-/// refusal. Used to replay load patterns.
+/// on a clock of its own: endpoints with slots, a queue, pauses and slowness,
+/// which may also ask for a pause; hosts with connections of their own; callers
+/// that return once after a refusal. Used to replay load patterns.
 #ifndef TREFOILMILL_REQUEST_ENDPOINT_SIMULATION_TEST_H_
 #define TREFOILMILL_REQUEST_ENDPOINT_SIMULATION_TEST_H_
 
@@ -11,9 +11,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "trefoilmill/request/request_run.h"
@@ -23,6 +25,34 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// What callers ask for; each kind has a route.
+enum class request_kind {
+  kSweep,   ///< All shards, of which `min_coverage` suffices.
+  kWhole,   ///< All shards, none of which may be missing.
+  kLookup,  ///< The first shard alone.
+};
+
+/// A sub-request arrived at an endpoint.
+struct arrival {
+  std::size_t host = 0;
+  int shard = 0;
+  int replica = 0;
+  time_point at;
+  /// Set if the endpoint refused it and asked for a pause.
+  std::optional<duration> pause;
+};
+
+/// A host answered one attempt of a caller.
+struct answered_attempt {
+  std::size_t host = 0;
+  request_kind kind = request_kind::kSweep;
+  /// Why the caller's first attempt was refused, if this is the second.
+  std::optional<reason_code> refused_before;
+  time_point asked;
+  time_point answered;
+  caller_answer answer;
+};
+
 /// What is simulated.
 struct scenario {
   int hosts = 4;
@@ -47,6 +77,17 @@
       [](int, int, time_point) { return 1.0; };
   /// Factor of the rate at a time.
   std::function<double(time_point now)> load = [](time_point) { return 1.0; };
+  /// Fractions of the requests; the others are sweeps.
+  double whole_share = 0;
+  double lookup_share = 0;
+  /// The pause that an endpoint asks for at a time in place of taking a
+  /// sub-request; nullopt if it takes it.
+  std::function<std::optional<duration>(int shard, int replica, time_point now)>
+      pushback = [](int, int, time_point) { return std::nullopt; };
+  /// Called as things happen.
+  std::function<void(const arrival&)> on_arrival = [](const arrival&) {};
+  std::function<void(const answered_attempt&)> on_answer =
+      [](const answered_attempt&) {};
 };
 
 /// What callers got, by the second in which they first asked.
@@ -65,6 +106,11 @@
 
 class world {
  public:
+  /// Network time between a host and an endpoint, one way.
+  static constexpr duration kOneWay = std::chrono::microseconds(500);
+  /// Network time between a caller and a host, there and back.
+  static constexpr duration kCallerWay = milliseconds(4);
+
   explicit world(scenario played)
       : scenario_(std::move(played)), random_(scenario_.seed) {
     BuildTable();
@@ -131,10 +177,11 @@
   struct active_request {
     std::unique_ptr<request_run> run;
     std::map<attempt_id, endpoint_id> attempts;
+    request_kind kind = request_kind::kSweep;
     std::size_t second = 0;
     time_point first_asked;
     time_point asked;
-    bool returned = false;
+    std::optional<reason_code> refused_before;
     std::uint64_t wake = 0;
   };
   struct host {
@@ -168,26 +215,62 @@
         {.advertised = static_cast<std::size_t>(scenario_.hosts)});
     return shared;
   }
-  void BuildTable() {
-    route sweep;
-    sweep.id = route_id("sweep");
-    sweep.host = "h";
-    sweep.prefix = "/sweep/";
-    sweep.retry = retry_rule::kIdempotent;
-    sweep.timeout = scenario_.timeout;
-    sweep.objective = scenario_.objective;
-    sweep.priority = 1;
-    sweep.max_endpoints = 3;
-    gather_target target{
-        .shards = {}, .top_k = 5, .min_coverage = scenario_.min_coverage};
+  /// Name of the route of a kind.
+  static std::string NameOf(request_kind kind) {
+    switch (kind) {
+      case request_kind::kSweep:
+        return "sweep";
+      case request_kind::kWhole:
+        return "whole";
+      case request_kind::kLookup:
+        return "lookup";
+    }
+    return {};
+  }
+  route RouteOf(request_kind kind) const {
+    route r;
+    r.id = route_id(NameOf(kind));
+    r.host = "h";
+    r.prefix = "/" + NameOf(kind) + "/";
+    r.retry = retry_rule::kIdempotent;
+    r.timeout = scenario_.timeout;
+    r.objective = scenario_.objective;
+    r.priority = 1;
+    r.max_endpoints = 3;
+    if (kind == request_kind::kLookup) {
+      r.target = relay_target{{{.service = Service(0)}}};
+      return r;
+    }
+    gather_target target{.shards = {},
+                         .top_k = 5,
+                         .min_coverage = kind == request_kind::kWhole
+                                             ? 1.0
+                                             : scenario_.min_coverage};
     for (int shard = 0; shard < scenario_.shards; ++shard) {
       target.shards.push_back(Service(shard));
     }
-    sweep.target = std::move(target);
+    r.target = std::move(target);
+    return r;
+  }
+  void BuildTable() {
     routing_config config;
-    config.routes = {sweep};
+    config.routes = {RouteOf(request_kind::kSweep),
+                     RouteOf(request_kind::kWhole),
+                     RouteOf(request_kind::kLookup)};
     table_ = route_table::Create(std::move(config)).value();
   }
+  request_kind DrawKind() {
+    if (scenario_.whole_share + scenario_.lookup_share <= 0) {
+      return request_kind::kSweep;
+    }
+    const double drawn = Uniform();
+    if (drawn < scenario_.whole_share) {
+      return request_kind::kWhole;
+    }
+    return drawn < scenario_.whole_share + scenario_.lookup_share
+               ? request_kind::kLookup
+               : request_kind::kSweep;
+  }
 
   void At(time_point at, std::function<void()> run) {
     events_.push({.at = at, .order = ++last_order_, .run = std::move(run)});
@@ -203,7 +286,7 @@
       const auto second =
           static_cast<std::size_t>((now_ - start_) / seconds(1));
       ++results_[second].asked;
-      Ask(second, now_, /*returned=*/false);
+      Ask(DrawKind(), second, now_, /*refused_before=*/std::nullopt);
       ScheduleArrival(end);
     });
   }
@@ -226,19 +309,23 @@
     });
   }
 
-  void Ask(std::size_t second, time_point first_asked, bool returned) {
+  void Ask(request_kind kind,
+           std::size_t second,
+           time_point first_asked,
+           std::optional<reason_code> refused_before) {
     const std::size_t number = random_() % hosts_.size();
     host& asked = *hosts_[number];
     const std::uint64_t id = ++last_request_;
-    const route* r = table_->Match("h", "/sweep/1");
+    const route* r = table_->Match("h", "/" + NameOf(kind) + "/1");
     active_request& active = asked.requests[id];
     active = {
         .run = std::make_unique<request_run>(table_, *r, ServicesOf(*r), now_,
                                              first_asked + scenario_.timeout),
+        .kind = kind,
         .second = second,
         .first_asked = first_asked,
         .asked = now_,
-        .returned = returned};
+        .refused_before = refused_before};
     Apply(number, id, active.run->Start(now_, asked.shared));
   }
 
@@ -291,42 +378,61 @@
                 const request_run::finish& action) {
     const active_request& active = hosts_[number]->requests[id];
     hosts_[number]->shared.waiting.Remove(request_number(id));
+    scenario_.on_answer({.host = number,
+                         .kind = active.kind,
+                         .refused_before = active.refused_before,
+                         .asked = active.asked,
+                         .answered = now_,
+                         .answer = action.answer});
     second_result& result = results_[active.second];
     if (const auto* refused = std::get_if<refused_answer>(&action.answer)) {
-      OnRefused(active, refused->retry_after, result);
+      OnRefused(active, *refused, result);
       return;
     }
-    const auto* gathered = std::get_if<gathered_answer>(&action.answer);
-    if (gathered == nullptr) {
+    if (std::holds_alternative<failed_answer>(action.answer)) {
       ++result.failed;
       return;
     }
-    const double coverage =
-        1 - static_cast<double>(gathered->missing) / scenario_.shards;
+    const auto* gathered = std::get_if<gathered_answer>(&action.answer);
+    const double missing =
+        gathered == nullptr ? 0.0 : static_cast<double>(gathered->missing);
+    const double coverage = 1 - missing / scenario_.shards;
     if (now_ + kCallerWay - active.asked > scenario_.objective) {
       ++result.late;
       return;
     }
-    ++(active.returned ? result.prompt_after_refusal : result.prompt);
+    ++(active.refused_before.has_value() ? result.prompt_after_refusal
+                                         : result.prompt);
     result.coverage_squares += coverage * coverage;
   }
   /// A caller returns once, if that takes at most a third of its time left.
   void OnRefused(const active_request& active,
-                 duration retry_after,
+                 const refused_answer& refusal,
                  second_result& result) {
     const duration left = active.first_asked + scenario_.timeout - now_;
-    if (active.returned || retry_after > left / 3) {
+    if (active.refused_before.has_value() || refusal.retry_after > left / 3) {
       ++result.refused;
       return;
     }
-    At(now_ + retry_after,
-       [this, second = active.second, first = active.first_asked] {
-         Ask(second, first, /*returned=*/true);
-       });
+    At(now_ + refusal.retry_after,
+       [this, kind = active.kind, second = active.second,
+        first = active.first_asked,
+        reason = refusal.reason] { Ask(kind, second, first, reason); });
   }
 
   void Arrive(const endpoint_id& id, const job& arrived) {
     endpoint_model& endpoint = endpoints_[id];
+    const auto pause =
+        scenario_.pushback(endpoint.shard, endpoint.replica, now_);
+    scenario_.on_arrival({.host = arrived.host,
+                          .shard = endpoint.shard,
+                          .replica = endpoint.replica,
+                          .at = now_,
+                          .pause = pause});
+    if (pause.has_value()) {
+      Reply(id, arrived, endpoint_refused{}, pause);
+      return;
+    }
     if (endpoint.running >= scenario_.slots &&
         endpoint.queue.size() >= scenario_.queue) {
       Reply(id, arrived, endpoint_refused{});
@@ -370,9 +476,15 @@
     return in_interval < scenario_.pause ? scenario_.pause - in_interval + work
                                          : work;
   }
-  void Reply(const endpoint_id& id, const job& done, attempt_outcome outcome) {
-    At(now_ + kOneWay, [this, id, done, outcome = std::move(outcome)] {
+  void Reply(const endpoint_id& id,
+             const job& done,
+             attempt_outcome outcome,
+             std::optional<duration> pause = std::nullopt) {
+    At(now_ + kOneWay, [this, id, done, pause, outcome = std::move(outcome)] {
       host& receiver = *hosts_[done.host];
+      if (pause.has_value()) {
+        receiver.shared.selector.OnPauseRequested(now_, id, *pause);
+      }
       --receiver.busy[id];
       ReportIdle(receiver, id);
       const auto found = receiver.requests.find(done.request);
@@ -405,10 +517,6 @@
     }
   }
 
-  static constexpr duration kOneWay = std::chrono::microseconds(500);
-  /// Network time between a caller and a host, there and back.
-  static constexpr duration kCallerWay = milliseconds(4);
-
   scenario scenario_;
   std::mt19937_64 random_;
   const time_point start_{seconds(1)};
