--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -169,9 +169,13 @@
     time_point now,
     shared_request_state& shared) {
   actions out;
-  const bool safe = deadline_admission::IsSafe(
-      Prospect(now, shared, route_->objective - kCallerNetworkTime));
-  if (safe) {
+  const deadline_admission::prospect prospect =
+      Prospect(now, shared, route_->objective - kCallerNetworkTime);
+  // With too few usable shards it is refused at once: no fall of the load would
+  // help.
+  const bool is_answerable =
+      deadline_admission::LatencyForCoverage(prospect).has_value();
+  if (!is_answerable || deadline_admission::IsSafe(prospect)) {
     deferred_until_.reset();
     return SendAll(now, shared);
   }
@@ -274,14 +278,21 @@
                                     .objective_deadline = objective_deadline_});
     return;
   }
-  s.failed = true;
-  s.obstacle = resend_obstacle::kNoReplica;
-  s.usable_at =
-      std::get<endpoint_selector::no_usable_endpoint>(selection).usable_at;
+  FailShard(now, shared, s, resend_obstacle::kNoReplica);
   ++counts_.without_endpoint;
   counts_.last_failure = reason_code::kNoReplica;
 }
 
+void request_run::FailShard(time_point now,
+                            shared_request_state& shared,
+                            shard& s,
+                            resend_obstacle obstacle) {
+  s.failed = true;
+  s.obstacle = obstacle;
+  s.callers_return_at =
+      shared.selector.CallersMayReturnAt(now, shared.registry, s.service);
+}
+
 void request_run::SendTo(time_point now,
                          shared_request_state& shared,
                          std::size_t index,
@@ -371,14 +382,12 @@
     return;
   }
   if (!CanRetry(s) || answer_deadline_ - now < kMinTimeToSend) {
-    s.obstacle = resend_obstacle::kAttemptLimit;
-    s.failed = true;
+    FailShard(now, shared, s, resend_obstacle::kAttemptLimit);
     return;
   }
   if (!shared.extra_sends.TrySpend(now, s.service)) {
     ++counts_.budget_refusals;
-    s.obstacle = resend_obstacle::kBudget;
-    s.failed = true;
+    FailShard(now, shared, s, resend_obstacle::kBudget);
     return;
   }
   ++counts_.retries;
--- a/src/libtrefoilmill/request/request_run_test.cc
+++ b/src/libtrefoilmill/request/request_run_test.cc
@@ -227,6 +227,24 @@
   BOOST_TEST((refused->reason == reason_code::kShed));
 }
 
+// The request itself makes the host learn of the pauses.
+BOOST_FIXTURE_TEST_CASE(the_request_that_is_pushed_back_says_until_when,
+                        request_fixture) {
+  shared.selector.OnPauseRequested(now, Endpoint(0, 0),
+                                   std::chrono::seconds(2));
+  Start("/read/1");
+  for (std::size_t sent = 0; sent < 2; ++sent) {
+    BOOST_TEST_REQUIRE(sends.size() == sent + 1);
+    shared.selector.OnPauseRequested(now, sends[sent].endpoint,
+                                     std::chrono::seconds(2));
+    ReportOutcome(request_run::send(sends[sent]),
+                  endpoint_refused{reason_code::kShed});
+  }
+  const auto* refused = AnswerAs<refused_answer>();
+  BOOST_TEST_REQUIRE(refused != nullptr);
+  BOOST_TEST((refused->retry_after >= std::chrono::seconds(2)));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_refusal_after_a_lost_reply_fails_the_request,
                         request_fixture) {
   Start("/read/1");
@@ -417,4 +435,25 @@
   BOOST_TEST((now - started <= 4 * kObjective + std::chrono::milliseconds(25)));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_deferred_request_does_not_wait_for_a_pause_to_end,
+                        overload_fixture) {
+  ReportAllSlow(4);
+  StartUntilNotSent(kTimeout);
+  ReportAllSlow(4);
+  StartUntilNotSent(kTimeout - std::chrono::milliseconds(100));
+  BOOST_TEST_REQUIRE(!answer.has_value());
+  for (int shard = 0; shard < 2; ++shard) {
+    for (int replica = 0; replica < kReplicas; ++replica) {
+      shared.selector.OnPauseRequested(now, Endpoint(shard, replica),
+                                       std::chrono::seconds(2));
+    }
+  }
+  const time_point paused = now;
+  RunUntil(now + std::chrono::milliseconds(25));
+  const auto* refused = AnswerAs<refused_answer>();
+  BOOST_TEST_REQUIRE(refused != nullptr);
+  BOOST_TEST((now + refused->retry_after >= paused + std::chrono::seconds(2)));
+  BOOST_TEST(sends.empty());
+}
+
 }  // namespace trefoilmill
