Numbers in a peer's frame that their field cannot hold are refused

A whole number beyond 2^63 was read as a negative one: a priority of 2^64-1 arrived as -1, and a logical time of 2^32 as 0. Times were not bounded at all, and an owner adds the remaining time of a query to the present time, which overflows with a time of 2^63-1 us.

peer_codec_test: six checks of the two new cases fail with the decoder as it was, none with this one.

--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -1,5 +1,6 @@
 #include "trefoilmill/wire/peer_codec.h"
 
+#include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -18,6 +19,10 @@
 /// Most elements of one list in a message.
 constexpr std::size_t kMaxListLength = 100000;
 
+/// Longest time in a message, before or after now. Receivers add it to the
+/// present time, which must not overflow.
+constexpr duration kMaxDuration = std::chrono::hours(24);
+
 template <class archive, class record>
 void VisitFields(archive& fields, record& r);
 
@@ -102,15 +107,21 @@
   static bool NumberFromJson(const json& element, number& v) {
     if constexpr (std::is_same_v<number, bool>) {
       return element.is_boolean() && (v = element.get<bool>(), true);
-    } else if constexpr (std::is_unsigned_v<number>) {
-      return element.is_number_unsigned() &&
-             std::in_range<number>(element.get<std::uint64_t>()) &&
-             (v = element.get<number>(), true);
+    } else if (element.is_number_unsigned()) {
+      return AssignIfFits(element.get<std::uint64_t>(), v);
     } else {
       return element.is_number_integer() &&
-             std::in_range<number>(element.get<std::int64_t>()) &&
-             (v = element.get<number>(), true);
+             AssignIfFits(element.get<std::int64_t>(), v);
+    }
+  }
+
+  template <class wide, class number>
+  static bool AssignIfFits(wide read, number& v) {
+    if (!std::in_range<number>(read)) {
+      return false;
     }
+    v = static_cast<number>(read);
+    return true;
   }
 
   template <class value>
@@ -125,8 +136,7 @@
     } else if constexpr (std::is_same_v<value, revision>) {
       return ReadRevision(element, v);
     } else if constexpr (std::is_same_v<value, duration>) {
-      duration::rep count{};
-      return NumberFromJson(element, count) && (v = duration(count), true);
+      return DurationFromJson(element, v);
     } else if constexpr (std::is_enum_v<value>) {
       int code = 0;
       return NumberFromJson(element, code) && EnumFromCode(code, v);
@@ -141,6 +151,16 @@
     }
   }
 
+  static bool DurationFromJson(const json& element, duration& v) {
+    duration::rep count{};
+    if (!NumberFromJson(element, count) || duration(count) < -kMaxDuration ||
+        duration(count) > kMaxDuration) {
+      return false;
+    }
+    v = duration(count);
+    return true;
+  }
+
   template <class value>
   static bool ListFromJson(const json& element, std::vector<value>& list) {
     if (!element.is_array() || element.size() > kMaxListLength) {
@@ -298,7 +318,8 @@
     return Malformed("not a CBOR array with a frame header");
   }
   if (!frame[0].is_number_unsigned() || !frame[1].is_number_unsigned() ||
-      !frame[2].is_number_unsigned()) {
+      !frame[2].is_number_unsigned() ||
+      !std::in_range<std::uint32_t>(frame[2].get<std::uint64_t>())) {
     return Malformed("bad frame header");
   }
   peer_frame decoded;
--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -4,6 +4,8 @@
 #include <rapidcheck.h>
 
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <nlohmann/json.hpp>
 
 namespace trefoilmill {
 namespace {
@@ -71,6 +73,38 @@
   BOOST_TEST((got.self.host == sent.self.host));
 }
 
+/// The sample query as bytes, with another element at `index` of the frame.
+std::string SampleWith(std::size_t index, const nlohmann::json& element) {
+  auto frame =
+      nlohmann::json::from_cbor(EncodePeerFrame({.message = SampleQuery()}));
+  frame.at(index) = element;
+  std::string bytes;
+  nlohmann::json::to_cbor(frame, bytes);
+  return bytes;
+}
+
+BOOST_AUTO_TEST_CASE(numbers_that_their_field_cannot_hold_are_refused) {
+  constexpr std::size_t kLogical = 2;
+  constexpr std::size_t kPriority = 6;
+  BOOST_TEST(DecodePeerFrame(SampleWith(kPriority, -1)).has_value());
+  BOOST_TEST(!DecodePeerFrame(SampleWith(kPriority, UINT64_MAX)).has_value());
+  BOOST_TEST(!DecodePeerFrame(SampleWith(kPriority, INT64_MIN)).has_value());
+  BOOST_TEST(!DecodePeerFrame(SampleWith(kPriority, 1U << 31)).has_value());
+  BOOST_TEST(DecodePeerFrame(SampleWith(kLogical, UINT32_MAX)).has_value());
+  BOOST_TEST(!DecodePeerFrame(SampleWith(kLogical, 1ULL << 32)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(times_beyond_a_day_are_refused) {
+  constexpr std::size_t kRemaining = 5;
+  constexpr std::int64_t kDayUs = 86'400'000'000;
+  BOOST_TEST(DecodePeerFrame(SampleWith(kRemaining, kDayUs)).has_value());
+  BOOST_TEST(DecodePeerFrame(SampleWith(kRemaining, -kDayUs)).has_value());
+  for (const std::int64_t us :
+       {kDayUs + 1, -kDayUs - 1, INT64_MAX, INT64_MIN}) {
+    BOOST_TEST(!DecodePeerFrame(SampleWith(kRemaining, us)).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(every_kind_round_trips) {
   const std::vector<peer_message> messages = {
       hello_message{},         ping_message{},         ack_message{},
