Every decoder of bytes from outside replays a kept corpus

decoders_fuzz_test covers JSON decoders of the daemon with one good text each, and nothing covered the store's replies, platform documents, callers' and endpoints' headers, entry settings or most peer messages.

Change: testsuite/corpus holds inputs for eleven decoders; wire_corpus_test and platform_corpus_test decode each twice, and 20,000 mutants of them with a fixed seed. A decoder must return the same both times, throw nothing and refuse with its documented error; what peers send must also survive being encoded again. The input in progress is in a file for the case that the process dies. decoders_fuzz_test uses the same mutator, with twelve tokens more than before.

Settings get operator== so that two decodings can be compared.

--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -23,6 +23,16 @@
   endforeach()
 endfunction()
 
+# tm_use_corpus(TEST): the test replays kept inputs of decoders.
+function(tm_use_corpus test)
+  if(TREFOILMILL_ENTRY_ONLY)
+    return()
+  endif()
+  target_include_directories(${test} PRIVATE ${CMAKE_SOURCE_DIR}/src)
+  target_compile_definitions(${test} PRIVATE
+    TREFOILMILL_CORPUS="${CMAKE_SOURCE_DIR}/testsuite/corpus")
+endfunction()
+
 # tm_add_benches(LIBRARIES...): one Google Benchmark program per *_bench.cc.
 function(tm_add_benches)
   if(TREFOILMILL_ENTRY_ONLY)
--- a/src/include/trefoilmill/entry_settings.h
+++ b/src/include/trefoilmill/entry_settings.h
@@ -41,6 +41,8 @@
   duration drain = std::chrono::seconds(3);
   extra_send_limit extra_sends;
   log_level log = log_level::kInfo;
+  friend bool operator==(const entry_settings&,
+                         const entry_settings&) = default;
 };
 
 }  // namespace trefoilmill
--- a/src/include/trefoilmill/process/extra_send_budget.h
+++ b/src/include/trefoilmill/process/extra_send_budget.h
@@ -31,6 +31,8 @@
   /// Extra sends allowed per window in addition to the ratio.
   double slack = 10;
   duration window = std::chrono::seconds(10);
+  friend bool operator==(const extra_send_limit&,
+                         const extra_send_limit&) = default;
 };
 
 /// This host's part of the limit: one token bucket per service, in which each
--- a/src/include/trefoilmill/settings.h
+++ b/src/include/trefoilmill/settings.h
@@ -45,6 +45,8 @@
   int timeline_capacity = 20000;
   /// Seeds every random choice; 0 takes a seed from the system.
   std::uint64_t seed = 0;
+  friend bool operator==(const daemon_settings&,
+                         const daemon_settings&) = default;
 };
 
 }  // namespace trefoilmill
--- a/src/libtmwire/decoders_fuzz_test.cc
+++ b/src/libtmwire/decoders_fuzz_test.cc
@@ -4,13 +4,12 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
-#include <array>
 #include <boost/test/unit_test.hpp>
 #include <functional>
-#include <random>
 #include <string>
 #include <vector>
 
+#include "input_mutator_test.h"
 #include "trefoilmill/wire/admin_codec.h"
 #include "trefoilmill/wire/caller_codec.h"
 #include "trefoilmill/wire/catalog_codec.h"
@@ -25,77 +24,13 @@
 namespace {
 
 constexpr int kMutants = 200;
-constexpr int kMaxChanges = 6;
-constexpr std::size_t kMaxRandomBytes = 300;
-
-/// Texts that have broken decoders before.
-const std::array tokens = {
-    std::string("null"),   std::string("-1"),
-    std::string("1e400"),  std::string("18446744073709551616"),
-    std::string("{"),      std::string("]"),
-    std::string("\""),     std::string("\\ud800"),
-    std::string("\xff"),   std::string("\0", 1),
-    std::string("/*"),     std::string("{\"$param\": \"slots\"}"),
-    std::string("1.5"),    std::string("\"\""),
-    std::string(200, '['), std::string("true"),
-    std::string("\n\n"),   std::string("\"127.0.0.1\""),
-};
-
-class mutator {
- public:
-  explicit mutator(std::uint64_t seed) : random_(seed) {}
-
-  std::string RandomBytes() {
-    std::string text(Pick(kMaxRandomBytes), '\0');
-    std::ranges::generate(text,
-                          [this] { return static_cast<char>(Pick(255)); });
-    return text;
-  }
-
-  std::string Mutate(std::string text) {
-    for (std::size_t left = 1 + Pick(kMaxChanges - 1); left > 0; --left) {
-      ChangeOnce(text);
-    }
-    return text;
-  }
-
- private:
-  std::size_t Pick(std::size_t most) {
-    return std::uniform_int_distribution<std::size_t>(0, most)(random_);
-  }
-
-  void ChangeOnce(std::string& text) {
-    const std::size_t at = Pick(text.size());
-    const std::size_t length = std::min(Pick(20), text.size() - at);
-    switch (Pick(4)) {
-      case 0:
-        text.replace(at, length, tokens.at(Pick(tokens.size() - 1)));
-        break;
-      case 1:
-        text.erase(at, length);
-        break;
-      case 2:
-        text.insert(Pick(text.size()), text.substr(at, length));
-        break;
-      case 3:
-        text.resize(at);
-        break;
-      default:
-        if (at < text.size()) {
-          text[at] = static_cast<char>(Pick(255));
-        }
-    }
-  }
-
-  std::mt19937_64 random_;
-};
 
 /// Feeds a decoder with texts near `good` and with random ones.
 void Attack(const std::string& name,
             const std::string& good,
             const std::function<void(const std::string&)>& decode) {
   const bool held = rc::check(name, [&](std::uint64_t seed) {
-    mutator mutants(seed);
+    input_mutator mutants(seed);
     for (int i = 0; i < kMutants; ++i) {
       decode(mutants.Mutate(good));
     }
