--- a/src/libtmwire/input_mutator_test.h
+++ b/src/libtmwire/input_mutator_test.h
@@ -12,7 +12,7 @@
 namespace trefoilmill {
 
 /// Pieces of JSON, CBOR and HTTP headers that decoders have tripped over.
-inline const std::array kMutationTokens = {
+inline const std::array mutation_tokens = {
     std::string("null"),
     std::string("-1"),
     std::string("1e400"),
@@ -90,7 +90,7 @@
     switch (Pick(4)) {
       case 0:
         text.replace(at, length,
-                     kMutationTokens.at(Pick(kMutationTokens.size() - 1)));
+                     mutation_tokens.at(Pick(mutation_tokens.size() - 1)));
         break;
       case 1:
         text.erase(at, length);
