peer_gossip: one part for each job

Cause: peer_gossip.cc had grown to 542 lines with six jobs in one class.

Change: the jobs are parts of their own, each with a header that says what it is for: peer_datagrams (the socket) with peer_addresses, fleet_membership, store_feeds, peer_copies and trouble_reports; object_digests holds what they share. peer_gossip creates them and passes each message on by its type. What was a pair is a struct: a pending departure, and the revision that a feed stated with its sender. The two copies of sending a counted datagram are one.

--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -1,25 +1,28 @@
-/// Communication with the other hosts: membership, changes that hosts which
-/// watch the store forward, reports on endpoints in trouble, and copies of
-/// objects where a peer's are newer than this host's.
+/// Communication with the other hosts. Connects the parts that do it, each with
+/// one job:
+///
+/// * peer_datagrams: the socket, and who sends from which address;
+/// * fleet_membership: which hosts there are and what they have in force;
+/// * store_feeds: changes that hosts which watch the store forward;
+/// * peer_copies: objects of which a peer has a newer revision;
+/// * trouble_reports: endpoints that are slow, failing or leaving.
 #ifndef TREFOILMILL_ENTRY_PEER_GOSSIP_H_
 #define TREFOILMILL_ENTRY_PEER_GOSSIP_H_
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
 #include <random>
-#include <string>
 #include <vector>
 
 #include "trefoilmill/entry_settings.h"
-#include "trefoilmill/membership.h"
-#include "trefoilmill/net/datagram_socket.h"
 #include "trefoilmill/net/event_loop.h"
-#include "trefoilmill/net/http.h"
-#include "trefoilmill/process/store_watcher_role.h"
+#include "trefoilmill_entry/fleet_membership.h"
+#include "trefoilmill_entry/peer_copies.h"
+#include "trefoilmill_entry/peer_datagrams.h"
+#include "trefoilmill_entry/store_feeds.h"
 #include "trefoilmill_entry/store_sync.h"
 #include "trefoilmill_entry/telemetry.h"
+#include "trefoilmill_entry/trouble_reports.h"
 
 namespace trefoilmill::entry {
 
@@ -31,8 +34,7 @@
     /// The list of hosts or the state of one has changed.
     std::function<void()> on_hosts_changed;
     /// A peer reported that an endpoint is leaving.
-    std::function<void(const host_id& from, const endpoint_departure&)>
-        on_departure;
+    trouble_reports::departure_callback on_departure;
   };
 
   /// Binds the UDP and the TCP port of `settings.peers`. Fails if membership
@@ -69,75 +71,22 @@
   /// Hosts that may be sending to endpoints, including those known to be dead.
   std::vector<host_record> KnownHosts() const;
   /// This host's own record.
-  const host_record& self() const { return self_; }
+  const host_record& self() const { return fleet_->self(); }
 
  private:
-  peer_gossip(event_loop& loop,
-              const entry_settings& settings,
-              store_sync& store,
-              endpoint_selector& endpoint_placement,
-              telemetry& process_telemetry,
-              callbacks on_event,
-              host_record self,
-              membership members);
+  struct dispatcher;
 
-  void RunActions(const membership::actions& actions);
-  void RunAction(const membership::send& action);
-  void RunAction(const membership::connect& action);
-  void RunAction(const membership::member_changed& action);
-  void RunAction(const membership::declared_dead& action);
-  void RunAction(const membership::wake& action);
-  void OnDatagram(const socket_address& from, const std::string& bytes);
-  void RecordAddresses(const peer_message& message);
-  void OnCopyRequest(const http_request& request,
-                     const http_responder& responder);
-  /// Sends a hello to the seeds, repeatedly until another host is known.
-  void SendHelloToSeeds();
-  void OnStoreFeed(const host_id& from, const store_feed& feed);
-  /// Decides whether this host watches the store. If so, tells the zone what
-  /// this host has in force.
-  void RunHeartbeat();
-  bool is_watching() const { return watching_.value_or(false); }
-  /// Sends to all reachable hosts of the zone; in a small fleet, of all zones.
-  void Broadcast(const peer_message& message);
-  void SendFrame(const host_record& host, const std::string& frame);
-  /// Reports endpoints in trouble, and those that are leaving, to the hosts
-  /// named to callers.
-  void SendTroubleReports();
-  std::vector<document_digest> Digests() const;
-  /// Fetches copies of the kinds of which a peer has a newer revision.
-  void FetchNewerCopies();
-  void FetchCopy(object_kind kind, const socket_address& from);
+  explicit peer_gossip(const store_sync& store);
+  /// Starts the timers of all parts and looks for other hosts.
+  void Start();
+  void OnMessage(const host_id& from, const peer_message& message);
 
-  event_loop& loop_;
-  store_sync& store_;
-  endpoint_selector& placement_;
-  telemetry& telemetry_;
-  callbacks callbacks_;
-  host_record self_;
-  std::vector<socket_address> seeds_;
-  membership membership_;
-  std::map<host_id, socket_address> addresses_by_id_;
-  std::map<socket_address, host_id> ids_by_address_;
-  store_watcher_role watch_duty_;
-  /// Whether this host watches the store; unset until the first heartbeat.
-  std::optional<bool> watching_;
-  int heartbeats_ = 0;
-  /// Endpoints known to be leaving, and how often to report each again.
-  std::vector<std::pair<endpoint_departure, int>> departures_;
-  /// The revision in the latest feed of each kind, and the sender's address.
-  std::map<object_kind, std::pair<revision, socket_address>> latest_feeds_;
-  /// Since when a peer has been ahead of this host, or when a copy was last
-  /// requested.
-  std::map<object_kind, time_point> behind_since_;
-  http_client copy_client_;
-  std::unique_ptr<datagram_socket> socket_;
-  std::unique_ptr<http_server> copy_server_;
-  timer membership_timer_;
-  timer hello_timer_;
-  timer copy_check_timer_;
-  timer heartbeat_timer_;
-  timer report_timer_;
+  const store_sync& store_;
+  std::unique_ptr<peer_datagrams> datagrams_;
+  std::unique_ptr<fleet_membership> fleet_;
+  std::unique_ptr<peer_copies> copies_;
+  std::unique_ptr<store_feeds> feeds_;
+  std::unique_ptr<trouble_reports> troubles_;
 };
 
 }  // namespace trefoilmill::entry
--- /dev/null
+++ b/src/trefoilmill_entry/store_feeds.cc
@@ -0,0 +1,158 @@
+#include "trefoilmill_entry/store_feeds.h"
+
+#include <cstdint>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "trefoilmill/wire/log_messages.h"
+#include "trefoilmill_entry/object_digests.h"
+
+namespace trefoilmill::entry {
+namespace {
+
+/// How often a host reviews whether to watch the store and, if it does, tells
+/// its zone.
+constexpr duration kHeartbeatInterval = std::chrono::milliseconds(500);
+/// Heartbeats between two calls that list the hosts.
+constexpr int kHeartbeatsPerRelist = 40;
+/// Largest total content of the changes in one datagram, in bytes.
+constexpr std::size_t kMaxFeedContentBytes = 16384;
+
+/// The changes in the form in which feeds carry them.
+std::vector<fed_object> FedObjects(const object_changes& changes) {
+  std::vector<fed_object> fed;
+  for (const object_event& event : changes.events) {
+    fed.push_back({.name = event.object.name,
+                   .at = event.object.at,
+                   .content = event.object.content,
+                   .deleted = event.deleted});
+  }
+  return fed;
+}
+
+/// The changes that a feed carries, which lead to revision `as_of`.
+object_changes ChangesOf(const store_feed& feed, revision as_of) {
+  object_changes changes{.events = {}, .as_of = as_of};
+  for (const fed_object& object : feed.changes) {
+    changes.events.push_back({.object = {.name = object.name,
+                                         .at = object.at,
+                                         .content = object.content},
+                              .deleted = object.deleted});
+  }
+  return changes;
+}
+
+std::size_t ContentBytes(const object_changes& changes) {
+  std::size_t bytes = 0;
+  for (const object_event& event : changes.events) {
+    bytes += event.object.content.size();
+  }
+  return bytes;
+}
+
+}  // namespace
+
+store_feeds::store_feeds(event_loop& loop,
+                         store_sync& store,
+                         const fleet_membership& fleet,
+                         peer_datagrams& datagrams,
+                         peer_copies& copies,
+                         telemetry& process_telemetry)
+    : loop_(loop),
+      store_(store),
+      fleet_(fleet),
+      datagrams_(datagrams),
+      copies_(copies),
+      telemetry_(process_telemetry),
+      watch_duty_(fleet.self().id, {}, loop.Now()) {}
+
+void store_feeds::Start() {
+  heartbeat_timer_ =
+      loop_.RunEvery(kHeartbeatInterval, [this] { RunHeartbeat(); });
+}
+
+void store_feeds::RunHeartbeat() {
+  ReviewWatching();
+  if (!is_watching()) {
+    return;
+  }
+  Broadcast({.fresh = store_.is_fresh(), .documents = DigestsOf(store_)});
+  if (watch_duty_.is_designated() &&
+      ++heartbeats_ % kHeartbeatsPerRelist == 0) {
+    store_.RelistHosts();
+  }
+}
+
+void store_feeds::ReviewWatching() {
+  std::vector<host_id> zone_hosts;
+  std::set<zone_id> zones;
+  for (const auto& [id, m] : fleet_.members()) {
+    if (!IsAlive(m)) {
+      continue;
+    }
+    zones.insert(m.host.zone);
+    if (m.host.zone == fleet_.self().zone) {
+      zone_hosts.push_back(id);
+    }
+  }
+  watch_duty_.SetZoneHosts(zone_hosts, zones.size());
+  const bool must_watch = watch_duty_.ShouldWatch(loop_.Now());
+  if (must_watch != watching_) {
+    watching_ = must_watch;
+    telemetry_.log->Info(
+        must_watch ? log_message::kWatchingStore : log_message::kLeavingStore,
+        {.inputs = {
+             {"zone_hosts", static_cast<std::int64_t>(zone_hosts.size())}}});
+  }
+  store_.SetWatching(must_watch);
+}
+
+void store_feeds::ForwardChanges(object_kind kind,
+                                 revision from,
+                                 const object_changes& changes) {
+  if (!is_watching()) {
+    return;
+  }
+  store_feed feed{.fresh = true, .documents = DigestsOf(store_), .from = from};
+  // Changes too large for a datagram are left out: the digests make the other
+  // hosts fetch a copy.
+  if (ContentBytes(changes) <= kMaxFeedContentBytes) {
+    feed.kind = DocumentIdOf(kind);
+    feed.changes = FedObjects(changes);
+  }
+  Broadcast(feed);
+}
+
+void store_feeds::Broadcast(const store_feed& feed) {
+  datagrams_.SendToAll(fleet_.NearbyHosts(), feed);
+}
+
+void store_feeds::OnFeed(const host_id& from, const store_feed& feed) {
+  if (feed.fresh) {
+    watch_duty_.OnStoreFeed(loop_.Now());
+  }
+  for (const document_digest& digest : feed.documents) {
+    store_.ObserveEra(digest.in_force.era());
+  }
+  for (const object_kind kind : kObjectKinds) {
+    ApplyFeed(from, feed, kind);
+  }
+}
+
+void store_feeds::ApplyFeed(const host_id& from,
+                            const store_feed& feed,
+                            object_kind kind) {
+  const auto in_force = FindRevision(feed.documents, kind);
+  if (!in_force.has_value()) {
+    return;
+  }
+  if (feed.kind == DocumentIdOf(kind)) {
+    store_.ApplyPeerChanges(kind, feed.from, ChangesOf(feed, *in_force));
+  }
+  copies_.OnFed(kind,
+                {.at = *in_force,
+                 .source = datagrams_.addresses().AddressOf(from).value()});
+}
+
+}  // namespace trefoilmill::entry
