--- a/src/libtmnet/datagram_socket.cc
+++ b/src/libtmnet/datagram_socket.cc
@@ -9,6 +9,8 @@
 #include <array>
 #include <utility>
 
+#include "socket_addresses.h"
+
 namespace trefoilmill {
 namespace {
 
@@ -19,12 +21,9 @@
 constexpr int kMaxDatagramsPerWakeup = 64;
 
 /// 0.0.0.0 if `address.ip` is not an IPv4 address.
-sockaddr_in ToSockaddr(const socket_address& address) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  out.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.ip.c_str(), &out.sin_addr);
-  return out;
+sockaddr_in ToSockaddrOrAny(const socket_address& address) {
+  return ToSockaddr(address).value_or(
+      sockaddr_in{.sin_family = AF_INET, .sin_port = htons(address.port)});
 }
 
 socket_address FromSockaddr(const sockaddr_in& address) {
@@ -36,8 +35,8 @@
 failure BindFailure(const socket_address& address) {
   failure error;
   error.reason = reason_code::kConnectionRefused;
-  error.detail = "cannot bind address " + address.ip + ":" +
-                 std::to_string(address.port) + " to a UDP socket";
+  error.detail =
+      "cannot bind address " + Authority(address) + " to a UDP socket";
   return error;
 }
 
@@ -92,7 +91,7 @@
   auto state = std::make_unique<impl>();
   state->on_receive = std::move(on_receive);
   state->fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-  const sockaddr_in local = ToSockaddr(address);
+  const sockaddr_in local = ToSockaddrOrAny(address);
   if (state->fd < 0 || evutil_make_socket_nonblocking(state->fd) != 0 ||
       bind(state->fd, reinterpret_cast<const sockaddr*>(&local),
            sizeof local) != 0) {
@@ -107,7 +106,7 @@
 
 bool datagram_socket::Send(const socket_address& to,
                            const std::string& payload) {
-  const sockaddr_in destination = ToSockaddr(to);
+  const sockaddr_in destination = ToSockaddrOrAny(to);
   return sendto(impl_->fd, payload.data(), payload.size(), MSG_DONTWAIT,
                 reinterpret_cast<const sockaddr*>(&destination),
                 sizeof destination) >= 0;
