scripts/lib: the parts of a cluster are classes of their own

Change: cluster_network has the ports and the address range, process_group the processes, cluster_standins the store, the endpoints and the fault proxy; Cluster connects them and keeps the daemons. What tests asked of the cluster they ask of its part: cluster.store.records().

--- a/scripts/lib/daemon_metrics.py
+++ b/scripts/lib/daemon_metrics.py
@@ -4,7 +4,7 @@
 import urllib.request
 from dataclasses import dataclass
 
-from cluster import ADMINISTRATION_PORT
+from cluster_network import ADMINISTRATION_PORT
 
 _BYTES = re.compile(
     r'^trefoilmill_peer_bytes_total\{(?=[^}]*use="control")[^}]*\} (\S+)',
--- a/scripts/lib/experiment_run.py
+++ b/scripts/lib/experiment_run.py
@@ -8,8 +8,10 @@
 import time
 
 import scenarios
-from cluster import ADMINISTRATION_PORT, Cluster, binaries
+from cluster import Cluster
+from cluster_network import ADMINISTRATION_PORT
 from daemon_metrics import control_traffic
+from process_group import binaries
 
 # Idle time over which the daemons' own cost is measured.
 CONTROL_SAMPLE_S = 5.0
@@ -33,7 +35,7 @@
         self._cluster = cluster
         self._usage = {host.name: host.process.usage()
                        for host in cluster.hosts}
-        self._calls = len(cluster.store_records())
+        self._calls = len(cluster.store.records())
         self._bytes = self._control_bytes()
         self._began = time.monotonic()
 
@@ -48,7 +50,7 @@
             before, now = self._usage[host.name], host.process.usage()
             cpu = max(cpu, (now[0] - before[0]) / elapsed)
             rss = max(rss, now[1] / 2**20)
-        calls = len(self._cluster.store_records()) - self._calls
+        calls = len(self._cluster.store.records()) - self._calls
         sent = self._control_bytes()
         most = max(sent[name] - self._bytes[name] for name in sent)
         return {"cpu_share": round(cpu, 5), "rss_mb": round(rss, 1),
--- a/scripts/lib/scenarios.py
+++ b/scripts/lib/scenarios.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 from typing import Callable
 
-from cluster import (ADMINISTRATION_PORT, CONTROL_PORT, Cluster, ClusterSpec)
+from cluster import Cluster, ClusterSpec
+from cluster_network import ADMINISTRATION_PORT, CONTROL_PORT
 
 # Before this the load only warms connections and endpoints up.
 DEFAULT_WARMUP_S = 10.0
@@ -67,13 +68,13 @@
     else:
         zones = cluster.deployment.zones
     return [Call(at_s, label if index == 0 else "",
-                 cluster.endpoint_ips[zone], CONTROL_PORT, "POST", "/control",
+                 cluster.endpoints.ips[zone], CONTROL_PORT, "POST", "/control",
                  {"endpoint": selector, **change})
             for index, zone in enumerate(zones)]
 
 
 def _store(cluster, at_s, label, **change):
-    return Call(at_s, label, cluster.store_ip, CONTROL_PORT, "POST",
+    return Call(at_s, label, cluster.store.ip, CONTROL_PORT, "POST",
                 "/control", change)
 
 
@@ -174,10 +175,10 @@
     second = first + 1
     # New work runs on the new version before the old one goes.
     def publish():
-        cluster.publish([first, second])
+        cluster.store.publish([first, second])
 
     def retire():
-        cluster.publish([second])
+        cluster.store.publish([second])
     calls = _endpoints(cluster, seconds * 0.2, "", "*",
                        versions=[first, second])
     calls += _endpoints(cluster, seconds * 0.6, f"{first} vanishes", "*",
@@ -189,7 +190,7 @@
 def _split_view(cluster, seconds):
     lone = cluster.hosts[0]
     def stall(direction):
-        return lambda: cluster.proxy_control(f"peers-{lone.name}",
+        return lambda: cluster.proxy.control(f"peers-{lone.name}",
                                              stall=direction)
     frozen = cluster.hosts[1]
     return [Act(seconds * 0.2, f"{lone.name} hears no one",
