trefoilmilld: both HTTP interfaces listen by one function

Cause: admin_server and callers_server repeated Listen() and the largest body.

Change: ListenFor() in http_listener.h passes the requests of an address on to a member function; both use it.

--- a/src/trefoilmilld/admin_server.cc
+++ b/src/trefoilmilld/admin_server.cc
@@ -10,15 +10,13 @@
 #include "trefoilmill/wire/timeline_codec.h"
 #include "trefoilmill/wire/zones_codec.h"
 #include "trefoilmilld/admin_replies.h"
+#include "trefoilmilld/http_listener.h"
 #include "trefoilmilld/http_replies.h"
 #include "trefoilmilld/status_report.h"
 
 namespace trefoilmill {
 namespace {
 
-/// The store takes values of up to a megabyte.
-constexpr std::size_t kMaxBodyBytes = 1 << 20;
-
 failure BadRequest(std::string detail) {
   return {.outcome = verdict::kNotRun,
           .reason = reason_code::kBadRequest,
@@ -38,16 +36,9 @@
     const daemon_settings& settings,
     const admin_view& view) {
   std::unique_ptr<admin_server> made(new admin_server(view));
-  auto server = http_server::Listen(
-      loop, settings.administration, {.max_body_bytes = kMaxBodyBytes},
-      [self = made.get()](const http_request& request,
-                          const http_responder& responder) {
-        self->Route(request, responder);
-      });
-  if (!server.has_value()) {
-    return std::move(server).error();
-  }
-  made->server_ = std::move(server).value();
+  BOOST_OUTCOME_TRY(server, ListenFor(loop, settings.administration, *made,
+                                      &admin_server::Route));
+  made->server_ = std::move(server);
   return made;
 }
 
--- a/src/trefoilmilld/callers_server.cc
+++ b/src/trefoilmilld/callers_server.cc
@@ -8,15 +8,12 @@
 
 #include "trefoilmill/entry_list.h"
 #include "trefoilmill/wire/caller_codec.h"
+#include "trefoilmilld/http_listener.h"
 #include "trefoilmilld/http_replies.h"
 
 namespace trefoilmill {
 namespace {
 
-/// Bodies above the deployment's own limit are refused by the codec; this
-/// bounds what is read from a socket at all.
-constexpr std::size_t kMaxBodyBytes = 1 << 20;
-
 failure ShuttingDown() {
   return {.outcome = verdict::kNotRun,
           .reason = reason_code::kShuttingDown,
@@ -61,16 +58,9 @@
     entry_task& entry,
     const fleet_task& fleet) {
   std::unique_ptr<callers_server> made(new callers_server(entry, fleet));
-  auto server = http_server::Listen(
-      loop, settings.callers, {.max_body_bytes = kMaxBodyBytes},
-      [self = made.get()](const http_request& request,
-                          const http_responder& responder) {
-        self->Route(request, responder);
-      });
-  if (!server.has_value()) {
-    return std::move(server).error();
-  }
-  made->server_ = std::move(server).value();
+  BOOST_OUTCOME_TRY(
+      server, ListenFor(loop, settings.callers, *made, &callers_server::Route));
+  made->server_ = std::move(server);
   return made;
 }
 
