Soak checks: a connection is closed when its process has ended

Callers on a busy machine notice late; the end of the process bounds the time of the close. A request that an endpoint got, and one that was sent to a successor, count as before.

--- a/scripts/lib/soak_checks.py
+++ b/scripts/lib/soak_checks.py
@@ -65,13 +65,23 @@
         stop = next((s for s in stops if s.host == attempt["host"] and
                      s.told <= attempt["ended"] <= s.ended + 1.0), None)
         arrived = passed_on.get((attempt["id"], attempt["host"]), [])
-        waited = attempt["ended"] - (attempt["sent"] or attempt["ended"])
-        if stop is None or not (arrived or waited > CROSSING_S):
+        if stop is None:
+            continue
+        waited = _closed_at(attempt, stop) - (attempt["sent"] or attempt["ended"])
+        if not arrived and waited <= CROSSING_S:
             continue
         lost.append(describe(attempt, stop, arrived))
     return lost
 
 
+def _closed_at(attempt, stop):
+    """When the connection was closed: callers may notice it late, but the end of
+    the process that had it closes it."""
+    sent_to_stopped = attempt["sent"] <= stop.ended
+    return min(attempt["ended"], stop.ended) if sent_to_stopped else \
+        attempt["ended"]
+
+
 def describe(attempt, stop, arrived):
     sent = (attempt["sent"] or attempt["began"]) - stop.told
     ended = attempt["ended"] - stop.told
