--- a/src/include/trefoilmill/net/event_loop.h
+++ b/src/include/trefoilmill/net/event_loop.h
@@ -36,8 +36,8 @@
  public:
   /// Holds back SIGTERM, SIGINT and SIGHUP while no loop runs. One that is sent
   /// to a starting process then reaches its handler, and one that is sent while
-  /// the process cleans up is ignored, where it would end the process otherwise.
-  /// Call it first in main().
+  /// the process cleans up is ignored, where it would end the process
+  /// otherwise. Call it first in main().
   static void HoldSignals();
   /// Creates a loop and sets the process to ignore SIGPIPE. Fails if libevent
   /// cannot create its event base.
--- a/src/libtrefoilmill/request/request_timing.h
+++ b/src/libtrefoilmill/request/request_timing.h
@@ -19,6 +19,9 @@
 /// endpoint load, for example because a shard has no usable endpoint.
 inline constexpr duration kDefaultRetryAfter = std::chrono::milliseconds(400);
 
+/// Minimum time before the answer deadline for a first send or a retry.
+inline constexpr duration kMinTimeToSend = std::chrono::milliseconds(2);
+
 }  // namespace trefoilmill
 
 #endif  // TREFOILMILL_REQUEST_REQUEST_TIMING_H_
