http_server: how it ends is a file of its own

The server's state moves to http_server_impl.h, closing and the end of accepting to http_server_closing.cc; functions moved whole, no behaviour changes.

--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -5,7 +5,6 @@
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -14,7 +13,7 @@
 #include <utility>
 
 #include "http_common.h"
-#include "http_responder_impl.h"
+#include "http_server_impl.h"
 #include "trefoilmill/net/http.h"
 
 namespace trefoilmill {
@@ -29,11 +28,6 @@
 // of the response.
 constexpr ev_ssize_t kEvhttpLimitFactor = 4;
 constexpr std::uint16_t kAllMethods = 0xffff;
-// How long the end of accepting waits at most for a moment at which the kernel
-// holds no connection that is not accepted.
-constexpr duration kMaxAcceptDelay = std::chrono::milliseconds(100);
-// How long a new connection is not idle though it has sent nothing yet.
-constexpr duration kFirstRequestTime = std::chrono::milliseconds(100);
 // Length of a status line up to the status code, as in "HTTP/1.1 400", and the
 // offset of the code in it.
 constexpr std::size_t kStatusLinePrefixBytes = 12;
@@ -70,55 +64,6 @@
 
 }  // namespace
 
-struct http_server::impl {
-  event_loop& loop;
-  http_server_options options;
-  http_server::request_handler on_request;
-  std::unique_ptr<evhttp, decltype(&evhttp_free)> http{nullptr, &evhttp_free};
-  evhttp_bound_socket* bound_socket = nullptr;
-  std::uint16_t port = 0;
-  std::unordered_map<evhttp_connection*, std::shared_ptr<server_connection>>
-      connections;
-  /// Accepted connections whose registration is posted.
-  std::size_t unregistered_connections = 0;
-  timer stop_accepting_timer;
-  std::shared_ptr<server_state> state = std::make_shared<server_state>();
-  std::function<bool()> accept_filter;
-  std::function<void()> on_closed;
-  // Posted tasks hold a weak pointer to it and do nothing if it has expired.
-  std::shared_ptr<impl*> liveness_token;
-
-  impl(event_loop& owner_loop,
-       const http_server_options& server_options,
-       http_server::request_handler handler)
-      : loop(owner_loop),
-        options(server_options),
-        on_request(std::move(handler)),
-        liveness_token(std::make_shared<impl*>(this)) {}
-
-  static bufferevent* MakeBufferevent(event_base* base, void* self);
-  static void OnConnectionClosed(evhttp_connection* evcon, void* self);
-  static void OnRequest(evhttp_request* evreq, void* self);
-  static void OnOutputChanged(evbuffer* output,
-                              const evbuffer_cb_info* change,
-                              void* self);
-  static void OnInputChanged(evbuffer* input,
-                             const evbuffer_cb_info* change,
-                             void* self);
-  /// Whether the connection may be closed without cutting off a request.
-  static bool IsIdle(const server_connection& connection, time_point now);
-  void RegisterConnection(bufferevent* bev);
-  /// Whether the kernel holds connections that are not accepted yet. Closing
-  /// the listening socket would reset them.
-  bool HasPendingConnections() const;
-  /// Closes the listening socket once no connection is pending, at `give_up_at`
-  /// in any case.
-  void StopAccepting(time_point give_up_at);
-  void DispatchRequest(evhttp_request* evreq);
-  void ApplyLimits();
-  std::optional<http_response> CheckLimits(const http_request& request) const;
-};
-
 bufferevent* http_server::impl::MakeBufferevent(event_base* base, void* self) {
   auto* server = static_cast<impl*>(self);
   bufferevent* bev = bufferevent_socket_new(base, -1, 0);
@@ -160,26 +105,6 @@
   evhttp_connection_set_closecb(evcon, &impl::OnConnectionClosed, this);
 }
 
-bool http_server::impl::HasPendingConnections() const {
-  pollfd listening{.fd = evhttp_bound_socket_get_fd(bound_socket),
-                   .events = POLLIN,
-                   .revents = 0};
-  return poll(&listening, 1, 0) == 1;
-}
-
-void http_server::impl::StopAccepting(time_point give_up_at) {
-  if (bound_socket == nullptr) {
-    return;
-  }
-  if (HasPendingConnections() && loop.Now() < give_up_at) {
-    stop_accepting_timer = loop.RunAfter(
-        duration::zero(), [this, give_up_at] { StopAccepting(give_up_at); });
-    return;
-  }
-  evhttp_del_accept_socket(http.get(), bound_socket);
-  bound_socket = nullptr;
-}
-
 void http_server::impl::OnConnectionClosed(evhttp_connection* evcon,
                                            void* self) {
   auto* server = static_cast<impl*>(self);
@@ -247,16 +172,6 @@
   }
 }
 
-bool http_server::impl::IsIdle(const server_connection& connection,
-                               time_point now) {
-  const bool is_new = !connection.has_served &&
-                      now - connection.accepted_at < kFirstRequestTime;
-  return !is_new && !connection.request_begun &&
-         connection.current_request.expired() &&
-         evbuffer_get_length(bufferevent_get_output(connection.bev)) == 0 &&
-         PeekSocket(bufferevent_getfd(connection.bev)) != peek_result::kData;
-}
-
 void http_server::impl::OnRequest(evhttp_request* evreq, void* self) {
   static_cast<impl*>(self)->DispatchRequest(evreq);
 }
@@ -385,29 +300,6 @@
   impl_->ApplyLimits();
 }
 
-void http_server::CloseIdleConnections(time_point now) {
-  // What the kernel received before shutdown() can still be read after it, so
-  // `closed_by_server` has to keep such a request from being handled.
-  for (const auto& [evcon, connection] : impl_->connections) {
-    if (impl::IsIdle(*connection, now)) {
-      connection->closed_by_server = true;
-      shutdown(bufferevent_getfd(connection->bev), SHUT_RDWR);
-    }
-  }
-}
-
-void http_server::CloseAfterResponses() {
-  impl_->state->close_after_responses = true;
-}
-
-void http_server::StopAccepting() {
-  impl_->StopAccepting(impl_->loop.Now() + kMaxAcceptDelay);
-}
-
-bool http_server::is_accepting() const {
-  return impl_->bound_socket != nullptr;
-}
-
 std::size_t http_server::open_connections() const {
   return impl_->connections.size() + impl_->unregistered_connections;
 }
@@ -432,12 +324,4 @@
   impl_->on_closed = std::move(task);
 }
 
-void http_server::CloseAllConnections() {
-  // The event loop then detects the end of each connection and frees it.
-  for (const auto& [evcon, connection] : impl_->connections) {
-    connection->closed_by_server = true;
-    shutdown(bufferevent_getfd(connection->bev), SHUT_RDWR);
-  }
-}
-
 }  // namespace trefoilmill
