--- a/src/include/trefoilmill/net/metrics.h
+++ b/src/include/trefoilmill/net/metrics.h
@@ -51,6 +51,7 @@
   kCallerRequestDuration,
   kAnswersLost,
   kEndpointSends,
+  kLimitedEndpointSends,
   kSendBudgetRefusals,
   kEndpointsKnown,
   kConfigurationVersion,
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "trefoilmill/ids.h"
+#include "trefoilmill/process/request_limits.h"
 #include "trefoilmill/process/endpoint_registry.h"
 #include "trefoilmill/time.h"
 
@@ -81,7 +82,12 @@
     zones_out_ = std::move(zones);
   }
   /// Discards all statistics of an endpoint.
-  void Forget(const endpoint_id& id) { stats_.erase(id); }
+  void Forget(const endpoint_id& id) {
+    stats_.erase(id);
+    limits_.Forget(id);
+  }
+  /// The request limits that endpoints state.
+  request_limits& limits() { return limits_; }
   /// Sets the number of idle connections to an endpoint. An endpoint is usable
   /// only after this was called for it.
   void SetIdleConnections(const endpoint_id& id, int idle_connections);
@@ -225,6 +231,7 @@
   std::mt19937_64 rng_;
   std::set<zone_id> zones_out_;
   std::unordered_map<endpoint_id, endpoint_stats> stats_;
+  request_limits limits_;
 };
 
 }  // namespace trefoilmill
--- a/src/include/trefoilmill/wire/log_messages.h
+++ b/src/include/trefoilmill/wire/log_messages.h
@@ -40,6 +40,9 @@
 inline constexpr char kEndpointWithdrawn[] = "endpoint withdrawn";
 inline constexpr char kEndpointLeaving[] = "endpoint is leaving";
 inline constexpr char kEndpointPaused[] = "endpoint asked for a pause";
+inline constexpr char kEndpointLimited[] = "endpoint states a request limit";
+inline constexpr char kEndpointUnlimited[] =
+    "endpoint states no request limit any more";
 /// @}
 
 }  // namespace trefoilmill::log_message
--- a/src/libtmnet/metrics_table.cc
+++ b/src/libtmnet/metrics_table.cc
@@ -261,6 +261,13 @@
        "and retries).",
        {"purpose"},
        {}},
+      {metric::kLimitedEndpointSends,
+       kCounter,
+       "trefoilmill_limited_endpoint_sends_total",
+       "Sub-requests handed to endpoints that state a request limit, by "
+       "purpose: first or extra (hedges and retries).",
+       {"purpose"},
+       {}},
       {metric::kSendBudgetRefusals,
        kCounter,
        "trefoilmill_send_budget_refusals_total",
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -148,8 +148,11 @@
   active.attempts.emplace(action.attempt, action.endpoint);
   const auto& counts = active.run.counts();
   const bool first = counts.sends <= counts.shards;
-  telemetry_.meter->Increment(metric::kEndpointSends,
-                              {first ? "first" : "extra"});
+  const char* purpose = first ? "first" : "extra";
+  telemetry_.meter->Increment(metric::kEndpointSends, {purpose});
+  if (shared_state_.selector.limits().LimitOf(action.endpoint).has_value()) {
+    telemetry_.meter->Increment(metric::kLimitedEndpointSends, {purpose});
+  }
   const bool sent = pools_.Send(
       action.endpoint, action.attempt,
       platform::MakeEndpointRequest(active.original, action.endpoint, left),
@@ -274,6 +277,29 @@
     telemetry_.log->Warning("unusable Retry-After of an endpoint ignored",
                             {.request = request, .endpoint = endpoint});
   }
+  if (notice.malformed_limit) {
+    telemetry_.log->Warning("unusable request limit of an endpoint ignored",
+                            {.request = request, .endpoint = endpoint});
+    return;
+  }
+  if (shared_state_.selector.limits().OnResponse(endpoint, notice.limit)) {
+    LogLimit(request, endpoint, notice.limit);
+  }
+}
+
+void request_handler::LogLimit(const request_id& request,
+                               const endpoint_id& endpoint,
+                               std::optional<request_rate> limit) {
+  if (!limit.has_value()) {
+    telemetry_.log->Info(log_message::kEndpointUnlimited,
+                         {.request = request, .endpoint = endpoint});
+    return;
+  }
+  telemetry_.log->Info(
+      log_message::kEndpointLimited,
+      {.request = request,
+       .endpoint = endpoint,
+       .inputs = {{"per_thousand_seconds", limit->per_thousand_seconds()}}});
 }
 
 void request_handler::OnConnectionIdle(const endpoint_id& id) {
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -87,6 +87,9 @@
   void ApplyNotice(const request_id& request,
                    const endpoint_id& endpoint,
                    const http_response& reply);
+  void LogLimit(const request_id& request,
+                const endpoint_id& endpoint,
+                std::optional<request_rate> limit);
   void OnCallerDisconnected(request_number number);
   void LogDisconnected(const active_request& active);
   void AbortAttempts(request_number number);
