--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -103,6 +103,9 @@
         # Seconds of the Retry-After header of refusals; None sends none.
         self.retry_after_s = None
         self.leaving = False
+        # Requests per second that it says it takes from all hosts; None for
+        # no limit.
+        self.limit = None
         # Time of arrival of each request, refused ones too.
         self.arrivals = []
         self.runs = []
@@ -182,9 +185,11 @@
 def serve_endpoint(ip, port, endpoint):
     """Serves one endpoint."""
     def respond(request, body):
-        leaving = {"Server-Leaving": "1"} if endpoint.leaving else {}
+        notice = {"Server-Leaving": "1"} if endpoint.leaving else {}
+        if endpoint.limit is not None:
+            notice["Server-Limit"] = str(endpoint.limit)
         status, headers, reply = answer(request, body) or (None, {}, b"")
-        return None if status is None else (status, headers | leaving, reply)
+        return None if status is None else (status, headers | notice, reply)
 
     def answer(request, body):
         endpoint.arrivals.append(time.monotonic())
