A limit that an endpoint states is divided among the hosts

Class: what an endpoint says of itself bounds the sum over all hosts, and must be divided, as connections and extra sends are.

Hosts tell each other of limits and of their ends; hedges spare limited endpoints; an answer's log line says request_limit where that was the obstacle.

--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -13,6 +13,7 @@
 #include "trefoilmill/deployment.h"
 #include "trefoilmill/ids.h"
 #include "trefoilmill/process/endpoint_selector.h"
+#include "trefoilmill/process/request_limits.h"
 #include "trefoilmill/time.h"
 #include "trefoilmill/verdict.h"
 
@@ -208,6 +209,11 @@
   std::vector<endpoint_departure> departures;
 };
 
+/// Request limits that endpoints stated to the sender, or no longer state.
+struct endpoint_limits_message {
+  std::vector<endpoint_limit_report> reports;
+};
+
 using peer_message = std::variant<hello_message,
                                   ping_message,
                                   ack_message,
@@ -220,7 +226,8 @@
                                   hedge_started_message,
                                   shard_cancel_message,
                                   store_feed,
-                                  endpoint_troubles>;
+                                  endpoint_troubles,
+                                  endpoint_limits_message>;
 
 }  // namespace trefoilmill
 
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -3,11 +3,12 @@
 /// and failure rate, the number of requests in flight, and the age of the
 /// oldest of them.
 ///
-/// The selection has to handle four kinds of trouble: an endpoint that pauses,
+/// The selection has to handle five kinds of trouble: an endpoint that pauses,
 /// answering nothing for a fraction of a second while requests wait; a
 /// straggler, which is several times slower for seconds; a grey failure, in
 /// which an endpoint fails part of its requests while it reports to be healthy;
-/// and an endpoint that has become unreachable.
+/// an endpoint that states a request limit; and an endpoint that has become
+/// unreachable.
 #ifndef TREFOILMILL_PROCESS_ENDPOINT_SELECTOR_H_
 #define TREFOILMILL_PROCESS_ENDPOINT_SELECTOR_H_
 
@@ -22,8 +23,8 @@
 #include <vector>
 
 #include "trefoilmill/ids.h"
-#include "trefoilmill/process/request_limits.h"
 #include "trefoilmill/process/endpoint_registry.h"
+#include "trefoilmill/process/request_limits.h"
 #include "trefoilmill/time.h"
 
 namespace trefoilmill {
@@ -57,11 +58,14 @@
     endpoint_id endpoint;
   };
   /// There are usable endpoints, but none with an idle connection or, for a
-  /// hedge, none of sufficiently low cost.
+  /// hedge, none of sufficiently low cost and without a request limit.
   struct no_capacity {};
   /// No endpoint of the service is usable at present, apart from those that
   /// were excluded.
-  struct no_usable_endpoint {};
+  struct no_usable_endpoint {
+    /// At least one would be, but for the request limit that it states.
+    bool limited = false;
+  };
   using selection = std::variant<selected, no_capacity, no_usable_endpoint>;
   /// @}
 
@@ -211,8 +215,11 @@
                                  const endpoint_registry::entry& entry);
   /// Draws one of `candidates`, which must not be empty.
   endpoint_id Draw(std::vector<candidate> candidates);
-  /// Whether the endpoint may get requests at all.
+  /// Whether the endpoint may get a request now.
   bool IsUsable(time_point now, const endpoint_registry::entry& entry) const;
+  /// The same, whatever request limit it states.
+  bool IsUsableButForLimit(time_point now,
+                           const endpoint_registry::entry& entry) const;
   /// Whether only the pause that the endpoint asked for prevents its use.
   bool IsOnlyPaused(time_point now,
                     const endpoint_registry::entry& entry) const;
--- a/src/include/trefoilmill/process/entry_hosts.h
+++ b/src/include/trefoilmill/process/entry_hosts.h
@@ -32,6 +32,12 @@
 bool IsAdvertised(const host_id& host,
                   const std::vector<host_record>& advertised);
 
+/// The hosts that may be sending to endpoints for many callers: those that are
+/// advertised, and those that would be if all of `known` were alive. `known` is
+/// as in CountSendingHosts().
+std::vector<host_id> SelectSenders(const std::vector<host_record>& advertised,
+                                   const std::vector<host_record>& known);
+
 /// Counts the hosts that may be sending to endpoints, from which `self` derives
 /// its share of the limits that all hosts have in common.
 ///
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -82,10 +82,12 @@
   kBudget,        ///< The budget for extra sends was exhausted.
   kNoConnection,  ///< No suitable endpoint had a free connection.
   kNoReplica,     ///< No other endpoint was usable.
+  kRequestLimit,  ///< Other endpoints stated request limits, which are used up.
   kAttemptLimit,  ///< As many endpoints were tried as the route allows.
 };
 
-/// Returns "none", "budget", "no_connection", "no_replica" or "attempt_limit".
+/// Returns "none", "budget", "no_connection", "no_replica", "request_limit" or
+/// "attempt_limit".
 std::string_view ToString(resend_obstacle obstacle);
 
 /// A shard that an answer lacks or had to wait for.
@@ -239,6 +241,9 @@
                 shared_request_state& shared,
                 std::size_t index,
                 actions& out);
+  /// Why nothing is sent on this selection.
+  static resend_obstacle ObstacleOf(
+      const endpoint_selector::selection& selection);
   /// Gives up a shard that cannot be sent again because of `obstacle`.
   static void FailShard(time_point now,
                         shared_request_state& shared,
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -262,6 +262,10 @@
     fields(r.reports, r.departures);
   } else if constexpr (kIs<endpoint_departure, record>) {
     fields(r.endpoint, r.started_ms);
+  } else if constexpr (kIs<endpoint_limits_message, record>) {
+    fields(r.reports);
+  } else if constexpr (kIs<endpoint_limit_report, record>) {
+    fields(r.endpoint, r.started_ms, r.per_thousand_seconds, r.age);
   } else if constexpr (kIs<store_feed, record>) {
     fields(r.fresh, r.documents, r.kind, r.from, r.changes);
   } else if constexpr (kIs<hedge_started_message, record>) {
--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -107,11 +107,11 @@
 
 BOOST_AUTO_TEST_CASE(every_kind_round_trips) {
   const std::vector<peer_message> messages = {
-      hello_message{},         ping_message{},         ack_message{},
-      ping_request_message{},  announce_message{},     document_request{},
-      document_body{},         shard_query_message{},  shard_reply_message{},
-      hedge_started_message{}, shard_cancel_message{}, store_feed{},
-      endpoint_troubles{}};
+      hello_message{},         ping_message{},           ack_message{},
+      ping_request_message{},  announce_message{},       document_request{},
+      document_body{},         shard_query_message{},    shard_reply_message{},
+      hedge_started_message{}, shard_cancel_message{},   store_feed{},
+      endpoint_troubles{},     endpoint_limits_message{}};
   BOOST_TEST(messages.size() == std::variant_size_v<peer_message>);
   for (const auto& message : messages) {
     const auto frame = DecodePeerFrame(EncodePeerFrame({.message = message}));
@@ -199,4 +199,22 @@
   BOOST_TEST(got.departures[0].started_ms == 1700U);
 }
 
+BOOST_AUTO_TEST_CASE(request_limits_round_trip) {
+  const endpoint_limits_message sent{
+      .reports = {{.endpoint = endpoint_id("i-7"),
+                   .started_ms = 1700,
+                   .per_thousand_seconds = 23500,
+                   .age = std::chrono::milliseconds(40)},
+                  {.endpoint = endpoint_id("i-8")}}};
+  const auto frame = DecodePeerFrame(EncodePeerFrame({.message = sent}));
+  BOOST_REQUIRE(frame.has_value());
+  const auto& got = std::get<endpoint_limits_message>(frame.value().message);
+  BOOST_REQUIRE(got.reports.size() == 2U);
+  BOOST_TEST(got.reports[0].endpoint.value() == "i-7");
+  BOOST_TEST(got.reports[0].started_ms == 1700U);
+  BOOST_TEST((got.reports[0].per_thousand_seconds == 23500));
+  BOOST_TEST((got.reports[0].age == std::chrono::milliseconds(40)));
+  BOOST_TEST(!got.reports[1].per_thousand_seconds.has_value());
+}
+
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -135,6 +135,13 @@
 
 bool endpoint_selector::IsUsable(time_point now,
                                  const endpoint_registry::entry& entry) const {
+  return IsUsableButForLimit(now, entry) &&
+         limits_.AllowsSend(now, entry.record.id);
+}
+
+bool endpoint_selector::IsUsableButForLimit(
+    time_point now,
+    const endpoint_registry::entry& entry) const {
   if (entry.record.draining || entry.address_reused ||
       zones_out_.contains(entry.record.zone)) {
     return false;
@@ -255,6 +262,7 @@
     duration time_left,
     purpose send_purpose) {
   bool usable = false;
+  bool limited = false;
   bool any_timely = false;
   std::vector<candidate> candidates;
   for (const endpoint_id& id : registry.EndpointsOf(service)) {
@@ -263,6 +271,7 @@
       continue;
     }
     if (!IsUsable(now, entry)) {
+      limited = limited || IsUsableButForLimit(now, entry);
       continue;
     }
     usable = true;
@@ -271,9 +280,10 @@
         Scaled(expected, LatencyRatio(now, stats, expected)) <= time_left;
     any_timely = any_timely || timely;
     const double cost = CostOf(now, entry, stats, expected);
-    const bool too_costly =
-        send_purpose == purpose::kHedge && cost > kMaxHedgeCost;
-    if (stats.idle_connections <= 0 || too_costly) {
+    const bool spared =
+        send_purpose == purpose::kHedge &&
+        (cost > kMaxHedgeCost || limits_.LimitOf(id).has_value());
+    if (stats.idle_connections <= 0 || spared) {
       continue;
     }
     candidates.push_back({.id = id,
@@ -285,7 +295,8 @@
     std::erase_if(candidates, [](const candidate& c) { return !c.timely; });
   }
   if (candidates.empty()) {
-    return usable ? selection(no_capacity{}) : selection(no_usable_endpoint{});
+    return usable ? selection(no_capacity{})
+                  : selection(no_usable_endpoint{.limited = limited});
   }
   return selected{Draw(std::move(candidates))};
 }
@@ -308,12 +319,14 @@
                                const endpoint_id& id,
                                attempt_id attempt) {
   stats_[id].in_flight.emplace(attempt, now);
+  limits_.OnSend(now, id);
 }
 
 void endpoint_selector::CancelSend(const endpoint_id& id, attempt_id attempt) {
   const auto found = stats_.find(id);
   if (found != stats_.end()) {
     found->second.in_flight.erase(attempt);
+    limits_.OnSendCancelled(id);
   }
 }
 
--- a/src/libtrefoilmill/process/entry_hosts.cc
+++ b/src/libtrefoilmill/process/entry_hosts.cc
@@ -1,8 +1,10 @@
 #include "trefoilmill/process/entry_hosts.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <ranges>
+#include <set>
 
 namespace trefoilmill {
 namespace {
@@ -59,6 +61,16 @@
              advertised.end();
 }
 
+std::vector<host_id> SelectSenders(const std::vector<host_record>& advertised,
+                                   const std::vector<host_record>& known) {
+  std::set<host_id> senders;
+  for (const auto& hosts : {advertised, SelectAdvertisedHosts(known)}) {
+    std::ranges::transform(hosts, std::inserter(senders, senders.end()),
+                           &host_record::id);
+  }
+  return {senders.begin(), senders.end()};
+}
+
 sending_hosts CountSendingHosts(const host_id& self,
                                 const std::vector<host_record>& advertised,
                                 const std::vector<host_record>& known) {
--- a/src/libtrefoilmill/request/endpoint_simulation_test.h
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -84,6 +84,13 @@
   /// sub-request; nullopt if it takes it.
   std::function<std::optional<duration>(int shard, int replica, time_point now)>
       pushback = [](int, int, time_point) { return std::nullopt; };
+  /// The request limit that an endpoint states in its responses at a time.
+  std::function<
+      std::optional<request_rate>(int shard, int replica, time_point now)>
+      limit = [](int, int, time_point) { return std::nullopt; };
+  /// When a host loses what it knows of limits, as in a restart.
+  std::function<bool(std::size_t host, time_point now)> restarts =
+      [](std::size_t, time_point) { return false; };
   /// Called as things happen.
   std::function<void(const arrival&)> on_arrival = [](const arrival&) {};
   std::function<void(const answered_attempt&)> on_answer =
@@ -133,6 +140,13 @@
             id, scenario_.connections_per_host);
       }
     }
+    std::vector<host_id> names;
+    for (std::size_t number = 0; number < hosts_.size(); ++number) {
+      names.emplace_back("h" + std::to_string(number));
+    }
+    for (std::size_t number = 0; number < hosts_.size(); ++number) {
+      hosts_[number]->shared.selector.limits().SetSenders(names[number], names);
+    }
   }
 
   /// Plays the scenario; the result has an element for each second.
@@ -293,6 +307,7 @@
   /// Hosts tell each other which endpoints they find slow.
   void ScheduleReports(time_point end) {
     At(now_ + milliseconds(250), [this, end] {
+      ExchangeLimits();
       for (const auto& from : hosts_) {
         for (const auto& report :
              from->shared.selector.UnhealthyEndpoints(now_)) {
@@ -309,6 +324,22 @@
     });
   }
 
+  void ExchangeLimits() {
+    for (std::size_t number = 0; number < hosts_.size(); ++number) {
+      request_limits& limits = hosts_[number]->shared.selector.limits();
+      if (scenario_.restarts(number, now_)) {
+        for (const auto& [id, endpoint] : endpoints_) {
+          limits.Forget(id);
+        }
+      }
+      for (const auto& report : limits.TakeReports(now_, endpoints_.size())) {
+        for (const auto& to : hosts_) {
+          to->shared.selector.limits().OnPeerReport(now_, report);
+        }
+      }
+    }
+  }
+
   void Ask(request_kind kind,
            std::size_t second,
            time_point first_asked,
@@ -480,24 +511,28 @@
              const job& done,
              attempt_outcome outcome,
              std::optional<duration> pause = std::nullopt) {
-    At(now_ + kOneWay, [this, id, done, pause, outcome = std::move(outcome)] {
-      host& receiver = *hosts_[done.host];
-      if (pause.has_value()) {
-        receiver.shared.selector.OnPauseRequested(now_, id, *pause);
-      }
-      --receiver.busy[id];
-      ReportIdle(receiver, id);
-      const auto found = receiver.requests.find(done.request);
-      found->second.attempts.erase(done.attempt);
-      Apply(done.host, done.request,
-            found->second.run->OnOutcome(now_, receiver.shared, done.attempt,
-                                         outcome));
-      Continue(done.host, Service(endpoints_[id].shard));
-      const auto ended = receiver.requests.find(done.request);
-      if (ended->second.attempts.empty() && ended->second.run->finished()) {
-        receiver.requests.erase(ended);
-      }
-    });
+    const endpoint_model& replying = endpoints_[id];
+    const auto limit = scenario_.limit(replying.shard, replying.replica, now_);
+    At(now_ + kOneWay,
+       [this, id, done, pause, limit, outcome = std::move(outcome)] {
+         host& receiver = *hosts_[done.host];
+         receiver.shared.selector.limits().OnResponse(now_, id, limit);
+         if (pause.has_value()) {
+           receiver.shared.selector.OnPauseRequested(now_, id, *pause);
+         }
+         --receiver.busy[id];
+         ReportIdle(receiver, id);
+         const auto found = receiver.requests.find(done.request);
+         found->second.attempts.erase(done.attempt);
+         Apply(done.host, done.request,
+               found->second.run->OnOutcome(now_, receiver.shared, done.attempt,
+                                            outcome));
+         Continue(done.host, Service(endpoints_[id].shard));
+         const auto ended = receiver.requests.find(done.request);
+         if (ended->second.attempts.empty() && ended->second.run->finished()) {
+           receiver.requests.erase(ended);
+         }
+       });
   }
   void ReportIdle(host& reporting, const endpoint_id& id) const {
     reporting.shared.selector.SetIdleConnections(
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -57,6 +57,8 @@
       return "no_connection";
     case resend_obstacle::kNoReplica:
       return "no_replica";
+    case resend_obstacle::kRequestLimit:
+      return "request_limit";
     case resend_obstacle::kAttemptLimit:
       return "attempt_limit";
   }
@@ -106,11 +108,29 @@
                                     .objective_deadline = objective_deadline_});
     return;
   }
-  FailShard(now, shared, s, resend_obstacle::kNoReplica);
+  FailShard(now, shared, s, ObstacleOf(selection));
   ++counts_.without_endpoint;
   counts_.last_failure = reason_code::kNoReplica;
 }
 
+resend_obstacle request_run::ObstacleOf(
+    const endpoint_selector::selection& selection) {
+  struct visitor {
+    resend_obstacle operator()(const endpoint_selector::selected&) const {
+      return resend_obstacle::kNone;
+    }
+    resend_obstacle operator()(const endpoint_selector::no_capacity&) const {
+      return resend_obstacle::kNoConnection;
+    }
+    resend_obstacle operator()(
+        const endpoint_selector::no_usable_endpoint& none) const {
+      return none.limited ? resend_obstacle::kRequestLimit
+                          : resend_obstacle::kNoReplica;
+    }
+  };
+  return std::visit(visitor{}, selection);
+}
+
 void request_run::FailShard(time_point now,
                             shared_request_state& shared,
                             shard& s,
--- a/src/libtrefoilmill/request/request_run_hedge.cc
+++ b/src/libtrefoilmill/request/request_run_hedge.cc
@@ -90,10 +90,7 @@
                              usual, TimeLeft(now), purpose);
   const auto* selected = std::get_if<endpoint_selector::selected>(&selection);
   if (selected == nullptr) {
-    s.obstacle =
-        std::holds_alternative<endpoint_selector::no_capacity>(selection)
-            ? resend_obstacle::kNoConnection
-            : resend_obstacle::kNoReplica;
+    s.obstacle = ObstacleOf(selection);
     return;
   }
   const double reserve = kRetryReserveFraction *
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -131,7 +131,7 @@
                   process->directory_server_.get()},
       *process->requests_, [self] { self->StopProcess(); });
   auto peers = peer_gossip::Create(
-      loop, settings, *process->store_, process->shared_state_.selector,
+      loop, settings, *process->store_, process->shared_state_,
       process->telemetry_,
       peer_gossip::callbacks{
           .on_hosts_changed = [self] { self->hosts_changed_ = true; },
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -325,6 +325,8 @@
   const auto known = peers_->KnownHosts();
   sending_hosts_ = CountSendingHosts(settings_.host, entry_hosts_, known);
   shared_state_.extra_sends.SetHosts(sending_hosts_);
+  shared_state_.selector.limits().SetSenders(
+      settings_.host, SelectSenders(entry_hosts_, known));
   telemetry_.meter->Set(metric::kHosts, static_cast<double>(known.size()),
                         {"known"});
   pools_->SetStandby(!sending_hosts_.is_advertised);
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -11,7 +11,7 @@
     event_loop& loop,
     const entry_settings& settings,
     store_sync& store,
-    endpoint_selector& endpoint_placement,
+    shared_request_state& shared_state,
     telemetry& process_telemetry,
     callbacks on_event,
     std::mt19937_64 random) {
@@ -43,8 +43,8 @@
       loop, store, *created->fleet_, *created->datagrams_, *created->copies_,
       process_telemetry);
   created->troubles_ = std::make_unique<trouble_reports>(
-      loop, endpoint_placement, *created->fleet_, *created->datagrams_,
-      std::move(on_event.on_departure));
+      loop, shared_state, *created->fleet_, *created->datagrams_,
+      process_telemetry, std::move(on_event.on_departure));
   created->Start();
   return created;
 }
@@ -103,6 +103,9 @@
   void operator()(const endpoint_troubles& troubles) const {
     gossip.troubles_->OnReports(from, troubles);
   }
+  void operator()(const endpoint_limits_message& limits) const {
+    gossip.troubles_->OnLimits(from, limits);
+  }
   void operator()(const store_feed& feed) const {
     gossip.feeds_->OnFeed(from, feed);
   }
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -43,7 +43,7 @@
       event_loop& loop,
       const entry_settings& settings,
       store_sync& store,
-      endpoint_selector& endpoint_placement,
+      shared_request_state& shared_state,
       telemetry& process_telemetry,
       callbacks on_event,
       std::mt19937_64 random);
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -282,7 +282,7 @@
                             {.request = request, .endpoint = endpoint});
     return;
   }
-  if (shared_state_.selector.limits().OnResponse(endpoint, notice.limit)) {
+  if (shared_state_.selector.limits().OnResponse(now, endpoint, notice.limit)) {
     LogLimit(request, endpoint, notice.limit);
   }
 }
--- a/src/trefoilmill_entry/trouble_reports.cc
+++ b/src/trefoilmill_entry/trouble_reports.cc
@@ -1,28 +1,34 @@
 #include "trefoilmill_entry/trouble_reports.h"
 
-#include <cstddef>
 #include <utility>
 
+#include "trefoilmill/wire/log_messages.h"
+
 namespace trefoilmill::entry {
 namespace {
 
 /// How often a host reports endpoints in trouble, and how many at most.
 constexpr duration kReportInterval = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxReportedEndpoints = 24;
+/// With at most this many entry hosts, reports on limits also go to other
+/// zones, as a zone may have no host that sends to a limited endpoint.
+constexpr std::size_t kMaxCrossZoneLimitReceivers = 64;
 /// How often a departure is reported, as datagrams may be lost.
 constexpr int kDepartureReports = 3;
 
 }  // namespace
 
 trouble_reports::trouble_reports(event_loop& loop,
-                                 endpoint_selector& selector,
+                                 shared_request_state& shared_state,
                                  const fleet_membership& fleet,
                                  peer_datagrams& datagrams,
+                                 telemetry& process_telemetry,
                                  departure_callback on_departure)
     : loop_(loop),
-      selector_(selector),
+      shared_state_(shared_state),
       fleet_(fleet),
       datagrams_(datagrams),
+      telemetry_(process_telemetry),
       on_departure_(std::move(on_departure)) {}
 
 void trouble_reports::Start() {
@@ -37,16 +43,60 @@
 void trouble_reports::OnReports(const host_id& from,
                                 const endpoint_troubles& troubles) {
   for (const endpoint_health_report& report : troubles.reports) {
-    selector_.OnPeerReport(loop_.Now(), report);
+    shared_state_.selector.OnPeerReport(loop_.Now(), report);
   }
   for (const endpoint_departure& departure : troubles.departures) {
     on_departure_(from, departure);
   }
 }
 
+void trouble_reports::OnLimits(const host_id& from,
+                               const endpoint_limits_message& limits) {
+  for (const endpoint_limit_report& report : limits.reports) {
+    const auto* entry = shared_state_.registry.Find(report.endpoint);
+    if (entry == nullptr || entry->record.started_ms != report.started_ms) {
+      continue;
+    }
+    if (!shared_state_.selector.limits().OnPeerReport(loop_.Now(), report)) {
+      continue;
+    }
+    const bool is_limited = report.per_thousand_seconds.has_value();
+    telemetry_.log->Info(is_limited ? log_message::kEndpointLimited
+                                    : log_message::kEndpointUnlimited,
+                         {.endpoint = report.endpoint,
+                          .peer = from,
+                          .detail = "reported by a peer",
+                          .inputs = {{"per_thousand_seconds",
+                                      report.per_thousand_seconds.value_or(0)},
+                                     {"age_us", report.age.count()}}});
+  }
+}
+
 void trouble_reports::SendReports() {
+  SendTroubles();
+  SendLimits();
+}
+
+void trouble_reports::SendLimits() {
+  endpoint_limits_message limits{
+      .reports = shared_state_.selector.limits().TakeReports(
+          loop_.Now(), kMaxReportedEndpoints)};
+  std::erase_if(limits.reports, [this](const endpoint_limit_report& report) {
+    return shared_state_.registry.Find(report.endpoint) == nullptr;
+  });
+  if (limits.reports.empty()) {
+    return;
+  }
+  for (endpoint_limit_report& report : limits.reports) {
+    report.started_ms =
+        shared_state_.registry.Find(report.endpoint)->record.started_ms;
+  }
+  datagrams_.SendToAll(Receivers(kMaxCrossZoneLimitReceivers), limits);
+}
+
+void trouble_reports::SendTroubles() {
   endpoint_troubles troubles{
-      .reports = selector_.UnhealthyEndpoints(loop_.Now()),
+      .reports = shared_state_.selector.UnhealthyEndpoints(loop_.Now()),
       .departures = TakeDepartures()};
   if (troubles.reports.empty() && troubles.departures.empty()) {
     return;
@@ -54,7 +104,7 @@
   if (troubles.reports.size() > kMaxReportedEndpoints) {
     troubles.reports.resize(kMaxReportedEndpoints);
   }
-  datagrams_.SendToAll(Receivers(), troubles);
+  datagrams_.SendToAll(Receivers(kMaxCrossZoneReceivers), troubles);
 }
 
 std::vector<endpoint_departure> trouble_reports::TakeDepartures() {
@@ -69,10 +119,11 @@
   return taken;
 }
 
-std::vector<host_record> trouble_reports::Receivers() const {
+std::vector<host_record> trouble_reports::Receivers(
+    std::size_t most_cross_zone) const {
   std::vector<host_record> receivers = fleet_.EntryHosts();
   const host_record& self = fleet_.self();
-  const bool cross_zone = receivers.size() <= kMaxCrossZoneReceivers;
+  const bool cross_zone = receivers.size() <= most_cross_zone;
   std::erase_if(receivers, [&](const host_record& host) {
     return host.id == self.id || !(cross_zone || host.zone == self.zone);
   });
--- a/src/trefoilmill_entry/trouble_reports.h
+++ b/src/trefoilmill_entry/trouble_reports.h
@@ -1,18 +1,20 @@
-/// Reports on endpoints between hosts: which are slow or failing, and which
-/// said that they are leaving, so that the other hosts need not find out by
-/// failures of their own.
+/// Reports on endpoints between hosts: which are slow or failing, which said
+/// that they are leaving, and which state a request limit, so that the other
+/// hosts need not find out by requests of their own.
 #ifndef TREFOILMILL_ENTRY_TROUBLE_REPORTS_H_
 #define TREFOILMILL_ENTRY_TROUBLE_REPORTS_H_
 
+#include <cstddef>
 #include <functional>
 #include <vector>
 
 #include "trefoilmill/ids.h"
 #include "trefoilmill/messages.h"
 #include "trefoilmill/net/event_loop.h"
-#include "trefoilmill/process/endpoint_selector.h"
+#include "trefoilmill/process/shared_request_state.h"
 #include "trefoilmill_entry/fleet_membership.h"
 #include "trefoilmill_entry/peer_datagrams.h"
+#include "trefoilmill_entry/telemetry.h"
 
 namespace trefoilmill::entry {
 
@@ -25,11 +27,13 @@
   using departure_callback =
       std::function<void(const host_id& from, const endpoint_departure&)>;
 
-  /// Health reports are taken from and passed to `selector`.
+  /// Health and limits are taken from and passed to the selector of
+  /// `shared_state`.
   trouble_reports(event_loop& loop,
-                  endpoint_selector& selector,
+                  shared_request_state& shared_state,
                   const fleet_membership& fleet,
                   peer_datagrams& datagrams,
+                  telemetry& process_telemetry,
                   departure_callback on_departure);
 
   /// Starts to send reports regularly.
@@ -38,6 +42,7 @@
   void ReportDeparture(const endpoint_departure& departure);
   /// Applies the reports of another host.
   void OnReports(const host_id& from, const endpoint_troubles& troubles);
+  void OnLimits(const host_id& from, const endpoint_limits_message& limits);
 
  private:
   /// A departure, and in how many more reports it is repeated.
@@ -47,15 +52,19 @@
   };
 
   void SendReports();
+  void SendTroubles();
+  void SendLimits();
   /// The departures of the next report; counts their transmissions.
   std::vector<endpoint_departure> TakeDepartures();
-  /// The hosts that the reports go to.
-  std::vector<host_record> Receivers() const;
+  /// The hosts that reports go to: in a fleet with more entry hosts than
+  /// `most_cross_zone`, only those of this zone.
+  std::vector<host_record> Receivers(std::size_t most_cross_zone) const;
 
   event_loop& loop_;
-  endpoint_selector& selector_;
+  shared_request_state& shared_state_;
   const fleet_membership& fleet_;
   peer_datagrams& datagrams_;
+  telemetry& telemetry_;
   departure_callback on_departure_;
   std::vector<pending_departure> departures_;
   timer report_timer_;
