A host logs and counts whether it reaches the endpoints

The log line and the metric tell apart a host that does not notice (hypothesis 1) from one that notices alone (2).

--- a/src/include/trefoilmill/net/metrics.h
+++ b/src/include/trefoilmill/net/metrics.h
@@ -54,6 +54,7 @@
   kLimitedEndpointSends,
   kSendBudgetRefusals,
   kEndpointsKnown,
+  kCutOff,
   kConfigurationVersion,
   kLogLinesDropped,
 };
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "trefoilmill/ids.h"
+#include "trefoilmill/process/endpoint_reach.h"
 #include "trefoilmill/process/endpoint_registry.h"
 #include "trefoilmill/process/request_limits.h"
 #include "trefoilmill/time.h"
@@ -89,9 +90,13 @@
   void Forget(const endpoint_id& id) {
     stats_.erase(id);
     limits_.Forget(id);
+    reach_.Forget(id);
   }
   /// The request limits that endpoints state.
   request_limits& limits() { return limits_; }
+  /// Whether this host reaches the endpoints.
+  endpoint_reach& reach() { return reach_; }
+  const endpoint_reach& reach() const { return reach_; }
   /// Sets the number of idle connections to an endpoint. An endpoint is usable
   /// only after this was called for it.
   void SetIdleConnections(const endpoint_id& id, int idle_connections);
@@ -239,6 +244,7 @@
   std::set<zone_id> zones_out_;
   std::unordered_map<endpoint_id, endpoint_stats> stats_;
   request_limits limits_;
+  endpoint_reach reach_;
 };
 
 }  // namespace trefoilmill
--- a/src/include/trefoilmill/wire/log_messages.h
+++ b/src/include/trefoilmill/wire/log_messages.h
@@ -34,6 +34,8 @@
 inline constexpr char kNamedToCallers[] = "callers are told of this host";
 inline constexpr char kStandingBy[] =
     "standing by: callers are told of stronger hosts";
+inline constexpr char kCutOff[] = "cut off from the endpoints";
+inline constexpr char kEndpointsReached[] = "endpoints are reached again";
 inline constexpr char kZoneOut[] = "availability zone out";
 inline constexpr char kZoneBack[] = "availability zone back";
 inline constexpr char kEndpointAnnounced[] = "endpoint announced";
--- /dev/null
+++ b/src/libtrefoilmill/process/endpoint_reach.cc
@@ -0,0 +1,70 @@
+#include "trefoilmill/process/endpoint_reach.h"
+
+#include <algorithm>
+
+namespace trefoilmill {
+namespace {
+
+/// A host is cut off if this many endpoints in a row do not respond, and is so
+/// no more when as many as the second have.
+constexpr std::size_t kUnansweredToCutOff = 5;
+constexpr std::size_t kAnsweredToReturn = 3;
+/// New connections fail at this fraction of the endpoints, and at this many.
+constexpr double kImpairedFraction = 0.125;
+constexpr std::size_t kMinImpaired = 2;
+/// Endpoints are probed if there was no response for this long.
+constexpr duration kSilenceToProbe = std::chrono::milliseconds(200);
+
+}  // namespace
+
+std::size_t endpoint_reach::AtMostKnown(std::size_t wanted) const {
+  return std::clamp<std::size_t>(known_, 1, wanted);
+}
+
+void endpoint_reach::OnResponse(time_point /*now*/, const endpoint_id& id) {
+  unanswered_.clear();
+  unanswered_since_.reset();
+  if (!is_cut_off_) {
+    return;
+  }
+  answered_.insert(id);
+  if (answered_.size() >= AtMostKnown(kAnsweredToReturn)) {
+    is_cut_off_ = false;
+  }
+}
+
+void endpoint_reach::OnNoResponse(time_point now, const endpoint_id& id) {
+  unanswered_.insert(id);
+  answered_.erase(id);
+  if (!unanswered_since_.has_value()) {
+    unanswered_since_ = now;
+  }
+  if (!is_cut_off_ && unanswered_.size() >= AtMostKnown(kUnansweredToCutOff)) {
+    is_cut_off_ = true;
+    answered_.clear();
+  }
+}
+
+void endpoint_reach::OnConnectFailed(time_point now, const endpoint_id& id) {
+  unconnected_.insert(id);
+  OnNoResponse(now, id);
+}
+
+void endpoint_reach::Forget(const endpoint_id& id) {
+  unanswered_.erase(id);
+  answered_.erase(id);
+  unconnected_.erase(id);
+}
+
+bool endpoint_reach::is_impaired() const {
+  const double fraction = kImpairedFraction * static_cast<double>(known_);
+  return unconnected_.size() >= kMinImpaired &&
+         static_cast<double>(unconnected_.size()) >= fraction;
+}
+
+bool endpoint_reach::ShouldProbe(time_point now) const {
+  return is_cut_off_ || (unanswered_since_.has_value() &&
+                         now - *unanswered_since_ >= kSilenceToProbe);
+}
+
+}  // namespace trefoilmill
--- /dev/null
+++ b/src/libtrefoilmill/process/endpoint_reach_test.cc
@@ -0,0 +1,110 @@
+#define BOOST_TEST_MODULE endpoint_reach
+#include "trefoilmill/process/endpoint_reach.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace trefoilmill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point kStart(seconds(100));
+
+endpoint_id Endpoint(int number) {
+  return endpoint_id("e" + std::to_string(number));
+}
+
+struct fixture {
+  endpoint_reach reach;
+  fixture() { reach.SetKnownEndpoints(30); }
+  void CutOff() {
+    for (int number = 0; number < 5; ++number) {
+      reach.OnNoResponse(kStart, Endpoint(number));
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(host, fixture)
+
+BOOST_AUTO_TEST_CASE(is_cut_off_when_no_endpoint_responds) {
+  for (int number = 0; number < 5; ++number) {
+    BOOST_TEST(!reach.is_cut_off());
+    reach.OnNoResponse(kStart, Endpoint(number));
+  }
+  BOOST_TEST(reach.is_cut_off());
+}
+
+// Half of the endpoints are dead, and the others respond.
+BOOST_AUTO_TEST_CASE(is_not_cut_off_while_any_endpoint_responds) {
+  for (int round = 0; round < 100; ++round) {
+    reach.OnNoResponse(kStart, Endpoint(round % 15));
+    reach.OnNoResponse(kStart, Endpoint((round + 1) % 15));
+    reach.OnResponse(kStart, Endpoint(15 + round % 15));
+  }
+  BOOST_TEST(!reach.is_cut_off());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_cut_off_by_a_single_endpoint) {
+  for (int round = 0; round < 100; ++round) {
+    reach.OnNoResponse(kStart, Endpoint(1));
+  }
+  BOOST_TEST(!reach.is_cut_off());
+  reach.SetKnownEndpoints(1);
+  reach.OnNoResponse(kStart, Endpoint(1));
+  BOOST_TEST(reach.is_cut_off());
+}
+
+BOOST_AUTO_TEST_CASE(is_cut_off_until_several_endpoints_respond) {
+  CutOff();
+  reach.OnResponse(kStart, Endpoint(1));
+  reach.OnResponse(kStart, Endpoint(1));
+  reach.OnResponse(kStart, Endpoint(2));
+  BOOST_TEST(reach.is_cut_off());
+  reach.OnNoResponse(kStart, Endpoint(2));
+  reach.OnResponse(kStart, Endpoint(3));
+  BOOST_TEST(reach.is_cut_off());
+  reach.OnResponse(kStart, Endpoint(4));
+  BOOST_TEST(!reach.is_cut_off());
+}
+
+BOOST_AUTO_TEST_CASE(is_impaired_while_new_connections_fail) {
+  for (int number = 0; number < 4; ++number) {
+    BOOST_TEST(!reach.is_impaired());
+    reach.OnConnectFailed(kStart, Endpoint(number));
+    // Open connections go on.
+    reach.OnResponse(kStart, Endpoint(20));
+  }
+  BOOST_TEST(reach.is_impaired());
+  BOOST_TEST(!reach.is_cut_off());
+  reach.OnConnected(Endpoint(0));
+  BOOST_TEST(!reach.is_impaired());
+}
+
+// With few requests of its own it has to ask.
+BOOST_AUTO_TEST_CASE(probes_when_silence_lasts) {
+  BOOST_TEST(!reach.ShouldProbe(kStart));
+  reach.OnNoResponse(kStart, Endpoint(1));
+  BOOST_TEST(!reach.ShouldProbe(kStart + milliseconds(100)));
+  BOOST_TEST(reach.ShouldProbe(kStart + milliseconds(200)));
+  reach.OnResponse(kStart + milliseconds(210), Endpoint(2));
+  BOOST_TEST(!reach.ShouldProbe(kStart + seconds(1)));
+  CutOff();
+  BOOST_TEST(reach.ShouldProbe(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(forgets_endpoints_that_were_removed) {
+  for (int number = 0; number < 4; ++number) {
+    reach.OnNoResponse(kStart, Endpoint(number));
+  }
+  reach.Forget(Endpoint(0));
+  reach.OnNoResponse(kStart, Endpoint(4));
+  BOOST_TEST(!reach.is_cut_off());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilmill
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -109,12 +109,14 @@
   endpoint_stats& stats = stats_[id];
   stats.backoff = std::clamp(stats.backoff * 2, kInitialBackoff, kMaxBackoff);
   stats.backoff_until = now + stats.backoff;
+  reach_.OnConnectFailed(now, id);
 }
 
 void endpoint_selector::OnConnected(const endpoint_id& id) {
   endpoint_stats& stats = stats_[id];
   stats.backoff = duration::zero();
   stats.backoff_until = time_point();
+  reach_.OnConnected(id);
 }
 
 void endpoint_selector::OnPauseRequested(time_point now,
@@ -373,6 +375,7 @@
   const double latency_ratio = RelativeLatency(now - sent->second, expected);
   stats.slowdown.Update(now, SlowdownSample(latency_ratio), kSlowdownWeight,
                         kSlowdownHalfLife);
+  reach_.OnNoResponse(now, id);
 }
 
 void endpoint_selector::OnPeerReport(time_point now,
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -266,6 +266,7 @@
   ApplyEndpointChanges(shared_state_.registry.RemoveExpired(now));
   ApplyZonesOut();
   pools_->MaintainConnections();
+  ReportReach();
   // A host that becomes ready does not change its membership state, so the
   // entry hosts have to be checked periodically.
   if (++housekeeping_runs_ % kHousekeepingRunsPerHostCheck == 0) {
@@ -280,6 +281,21 @@
   telemetry_.log->Flush();
 }
 
+void entry_process::ReportReach() {
+  const endpoint_reach& reach = shared_state_.selector.reach();
+  if (reach.is_cut_off() == was_cut_off_) {
+    return;
+  }
+  was_cut_off_ = reach.is_cut_off();
+  telemetry_.meter->Set(metric::kCutOff, was_cut_off_ ? 1 : 0);
+  telemetry_.log->Warning(
+      was_cut_off_ ? log_message::kCutOff : log_message::kEndpointsReached,
+      {.inputs = {
+           {"unanswered", static_cast<std::int64_t>(reach.unanswered())},
+           {"endpoints", static_cast<std::int64_t>(
+                             shared_state_.registry.entries().size())}}});
+}
+
 void entry_process::ReloadSettings() {
   auto parsed = ReadSettingsFile(settings_file_, ParseEntrySettings);
   for (const auto& error : parsed.errors) {
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -92,6 +92,8 @@
   void OnReadinessRequest(const http_request& request,
                           const http_responder& responder);
   void RunHousekeeping();
+  /// Logs a change of whether this host reaches the endpoints.
+  void ReportReach();
   void ReloadSettings();
   /// Announces that this host leaves, and begins the planned stop.
   void BeginShutdown();
@@ -113,6 +115,7 @@
   bool hosts_changed_ = false;
   bool endpoints_known_ = false;
   bool was_ready_ = false;
+  bool was_cut_off_ = false;
   time_point last_housekeeping_;
   int housekeeping_runs_ = 0;
   std::unique_ptr<connection_pools> pools_;
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -261,6 +261,8 @@
     std::visit(visitor{*this}, change);
   }
   if (!changes.empty()) {
+    shared_state_.selector.reach().SetKnownEndpoints(
+        shared_state_.registry.entries().size());
     UpdateConnectionLimits();
   }
 }
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -227,7 +227,10 @@
   const endpoint_id endpoint = sent->second;
   active.attempts.erase(sent);
   if (exchange.response.has_value()) {
+    shared_state_.selector.reach().OnResponse(loop_.Now(), endpoint);
     ApplyNotice(active.id, endpoint, *exchange.response);
+  } else if (!active.caller_disconnected) {
+    shared_state_.selector.reach().OnNoResponse(loop_.Now(), endpoint);
   }
   attempt_outcome outcome =
       platform::ClassifyEndpointExchange(active.id, std::move(exchange));
