--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -131,13 +131,14 @@
         self.store = platform.Store()
         platform.serve_store(f"{network}.0.1", STORE_PORT, self.store)
         self.endpoints = {}
+        self.links = platform.Links()
         for index, service in enumerate(SHARDS):
             for replica in range(2):
                 name, port = f"{service}-{replica}", 9000 + 2 * index + replica
                 self.endpoints[name] = platform.Endpoint(
                     name, record(index) + record(100 + index))
                 platform.serve_endpoint(f"{network}.2.1", port,
-                                        self.endpoints[name])
+                                        self.endpoints[name], self.links)
                 self.register(name, service, port)
         self.store.put("config", "main", configuration(7))
         self.hosts = [self.start_host(number + 1) for number in range(hosts)]
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -8,6 +8,7 @@
 import urllib.parse
 
 OBJECTS = "/trefoilmill/objects/"
+HEALTH_PATH = "/health"
 WATCH_POLL_S = 0.02
 GONE = "history is gone"
 
@@ -111,6 +112,27 @@
         self.runs = []
 
 
+class Links:
+    """Links between hosts and endpoints, by the host's IP number: "hang" (no
+    response), "reset" (closed, new connections too) or "refuse" (only new
+    connections are closed). A host that is not named has its links."""
+
+    def __init__(self):
+        self.modes = {}
+
+    def accepts(self, ip):
+        return self.modes.get(ip) not in ("reset", "refuse")
+
+    def carries(self, ip):
+        """Whether a request of the host reaches the endpoint; waits while its
+        link hangs."""
+        hung = False
+        while self.modes.get(ip) == "hang":
+            hung = True
+            time.sleep(0.05)
+        return not hung and self.modes.get(ip) != "reset"
+
+
 def _handler(respond):
     class Handler(http.server.BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
@@ -137,11 +159,14 @@
     return Handler
 
 
-def _listen(ip, port, respond):
+def _listen(ip, port, respond, links=None):
     class Server(http.server.ThreadingHTTPServer):
         daemon_threads = True
         request_queue_size = 64
 
+        def verify_request(self, request, client_address):
+            return links is None or links.accepts(client_address[0])
+
         def handle_error(self, request, client_address):
             """Peers that reset a connection are part of the tests."""
 
@@ -182,9 +207,11 @@
     return _listen(ip, port, respond)
 
 
-def serve_endpoint(ip, port, endpoint):
+def serve_endpoint(ip, port, endpoint, links=None):
     """Serves one endpoint."""
     def respond(request, body):
+        if links is not None and not links.carries(request.client_address[0]):
+            return None
         notice = {"Server-Leaving": "1"} if endpoint.leaving else {}
         if endpoint.limit is not None:
             notice["Server-Limit"] = str(endpoint.limit)
@@ -192,6 +219,8 @@
         return None if status is None else (status, headers | notice, reply)
 
     def answer(request, body):
+        if request.path == HEALTH_PATH:
+            return 200, {"Trefoilmill-Instance-Id": endpoint.instance}, b""
         endpoint.arrivals.append(time.monotonic())
         identity = request.headers["Trefoilmill-Request-Id"]
         expected = request.headers.get("Trefoilmill-Expect-Instance")
@@ -211,4 +240,4 @@
                        f"{endpoint.instance}.{identity}"}
         return 200, headers, endpoint.records
 
-    return _listen(ip, port, respond)
+    return _listen(ip, port, respond, links)
