A host that reaches no endpoint passes its callers' requests on

endpoint_reach decides it from the responses of all endpoints, and reach_prober asks endpoints for a sign of life meanwhile. The host passes requests on, whole, to hosts that reach the endpoints (request_forwarder), and is not named to callers until it reaches them again. If new connections fail and open ones go on, only requests for services without a connection are passed on. If no host reaches the endpoints, requests are refused at once.

--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -214,6 +214,11 @@
   std::vector<endpoint_limit_report> reports;
 };
 
+/// Whether the sender reaches the endpoints. Repeated while it does not.
+struct endpoint_reach_message {
+  bool is_cut_off = false;
+};
+
 using peer_message = std::variant<hello_message,
                                   ping_message,
                                   ack_message,
@@ -227,7 +232,8 @@
                                   shard_cancel_message,
                                   store_feed,
                                   endpoint_troubles,
-                                  endpoint_limits_message>;
+                                  endpoint_limits_message,
+                                  endpoint_reach_message>;
 
 }  // namespace trefoilmill
 
--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -216,6 +216,9 @@
 /// Meant for low request rates.
 class http_client {
  public:
+  /// Identifies a request of this client.
+  using request_handle = std::uint64_t;
+
   /// Connects from the IPv4 address `local_ip`, or from any if it is empty; it
   /// takes precedence over `options.local_ip`.
   explicit http_client(event_loop& loop,
@@ -225,11 +228,16 @@
   ~http_client();
   /// Sends `request` on an idle connection to `address`, or on a new one if
   /// there is none. `timeout` covers connecting, too. Calls `done` exactly
-  /// once, never from within Send(), unless the client is destroyed first.
-  void Send(const socket_address& address,
-            const http_request& request,
-            duration timeout,
-            http_connection::result_callback done);
+  /// once, never from within Send(), unless the request is cancelled or the
+  /// client destroyed first.
+  request_handle Send(const socket_address& address,
+                      const http_request& request,
+                      duration timeout,
+                      http_connection::result_callback done);
+  /// Closes the connection of a request in progress, whose result is then not
+  /// reported. Does nothing if the request has ended. Not to be called from
+  /// within a callback of the same request.
+  void Cancel(request_handle handle);
 
  private:
   struct impl;
--- a/src/include/trefoilmill/net/metrics.h
+++ b/src/include/trefoilmill/net/metrics.h
@@ -55,6 +55,7 @@
   kSendBudgetRefusals,
   kEndpointsKnown,
   kCutOff,
+  kForwardedRequests,
   kConfigurationVersion,
   kLogLinesDropped,
 };
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -141,6 +141,15 @@
                                          duration expected,
                                          std::size_t waiting) const;
 
+  /// Whether the endpoint may be asked for a sign of life: nothing but failed
+  /// connections speaks against its use, and its load is not limited.
+  bool MayProbe(time_point now, const endpoint_registry::entry& entry) const;
+
+  /// Whether this host has a connection to a usable endpoint of the service.
+  bool HasConnectionTo(time_point now,
+                       const endpoint_registry& registry,
+                       const service_id& service) const;
+
   /// A sub-request is late enough to be hedged. Counting it as slow now detects
   /// a slow endpoint before its reply arrives.
   void OnSendLate(time_point now,
--- a/src/include/trefoilmill/wire/log_messages.h
+++ b/src/include/trefoilmill/wire/log_messages.h
@@ -36,6 +36,12 @@
     "standing by: callers are told of stronger hosts";
 inline constexpr char kCutOff[] = "cut off from the endpoints";
 inline constexpr char kEndpointsReached[] = "endpoints are reached again";
+inline constexpr char kRequestForwarded[] = "request forwarded to another host";
+inline constexpr char kForwardingFailed[] = "forwarding to another host failed";
+inline constexpr char kPeerCutOff[] =
+    "another host is cut off from the endpoints";
+inline constexpr char kPeerReaches[] =
+    "another host reaches the endpoints again";
 inline constexpr char kZoneOut[] = "availability zone out";
 inline constexpr char kZoneBack[] = "availability zone back";
 inline constexpr char kEndpointAnnounced[] = "endpoint announced";
--- a/src/libtmnet/http_client.cc
+++ b/src/libtmnet/http_client.cc
@@ -19,6 +19,7 @@
 struct http_client::impl {
   // A request in progress, from Send() until its result is reported.
   struct pending_request {
+    request_handle handle = 0;
     socket_address address;
     http_request request;
     time_point deadline;
@@ -32,6 +33,7 @@
   event_loop& loop;
   http_connection::options options;
   std::list<pending_request> pending_requests;
+  request_handle last_handle = 0;
   // Pool of idle connections.
   std::map<socket_address, std::vector<std::unique_ptr<http_connection>>>
       idle_connections;
@@ -122,16 +124,27 @@
 
 http_client::~http_client() = default;
 
-void http_client::Send(const socket_address& address,
-                       const http_request& request,
-                       duration timeout,
-                       http_connection::result_callback done) {
-  impl_->pending_requests.push_front({.address = address,
+http_client::request_handle http_client::Send(
+    const socket_address& address,
+    const http_request& request,
+    duration timeout,
+    http_connection::result_callback done) {
+  const request_handle handle = ++impl_->last_handle;
+  impl_->pending_requests.push_front({.handle = handle,
+                                      .address = address,
                                       .request = request,
                                       .deadline = impl_->loop.Now() + timeout,
                                       .done = std::move(done),
                                       .connection = nullptr});
   impl_->StartRequest(impl_->pending_requests.begin());
+  return handle;
+}
+
+void http_client::Cancel(request_handle handle) {
+  std::erase_if(impl_->pending_requests,
+                [handle](const impl::pending_request& pending) {
+                  return pending.handle == handle;
+                });
 }
 
 }  // namespace trefoilmill
--- a/src/libtmnet/metrics_table.cc
+++ b/src/libtmnet/metrics_table.cc
@@ -280,6 +280,13 @@
        "1 while this host reaches no endpoint.",
        {},
        {}},
+      {metric::kForwardedRequests,
+       kCounter,
+       "trefoilmill_forwarded_requests_total",
+       "Callers' requests passed on to other hosts, by outcome: answered, "
+       "failed, not_taken (served here) or gone (the caller left).",
+       {"outcome"},
+       {}},
       {metric::kEndpointsKnown,
        kGauge,
        "trefoilmill_endpoints_known",
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -264,6 +264,8 @@
     fields(r.endpoint, r.started_ms);
   } else if constexpr (kIs<endpoint_limits_message, record>) {
     fields(r.reports);
+  } else if constexpr (kIs<endpoint_reach_message, record>) {
+    fields(r.is_cut_off);
   } else if constexpr (kIs<endpoint_limit_report, record>) {
     fields(r.endpoint, r.started_ms, r.per_thousand_seconds, r.age);
   } else if constexpr (kIs<store_feed, record>) {
--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -107,11 +107,21 @@
 
 BOOST_AUTO_TEST_CASE(every_kind_round_trips) {
   const std::vector<peer_message> messages = {
-      hello_message{},         ping_message{},           ack_message{},
-      ping_request_message{},  announce_message{},       document_request{},
-      document_body{},         shard_query_message{},    shard_reply_message{},
-      hedge_started_message{}, shard_cancel_message{},   store_feed{},
-      endpoint_troubles{},     endpoint_limits_message{}};
+      hello_message{},
+      ping_message{},
+      ack_message{},
+      ping_request_message{},
+      announce_message{},
+      document_request{},
+      document_body{},
+      shard_query_message{},
+      shard_reply_message{},
+      hedge_started_message{},
+      shard_cancel_message{},
+      store_feed{},
+      endpoint_troubles{},
+      endpoint_limits_message{},
+      endpoint_reach_message{.is_cut_off = true}};
   BOOST_TEST(messages.size() == std::variant_size_v<peer_message>);
   for (const auto& message : messages) {
     const auto frame = DecodePeerFrame(EncodePeerFrame({.message = message}));
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -153,6 +153,28 @@
          found->second.paused_until <= now;
 }
 
+bool endpoint_selector::HasConnectionTo(time_point now,
+                                        const endpoint_registry& registry,
+                                        const service_id& service) const {
+  return std::ranges::any_of(
+      registry.EndpointsOf(service), [&](const endpoint_id& id) {
+        const auto found = stats_.find(id);
+        return IsUsableButForLimit(now, *registry.Find(id)) &&
+               (found->second.idle_connections > 0 ||
+                !found->second.in_flight.empty());
+      });
+}
+
+bool endpoint_selector::MayProbe(time_point now,
+                                 const endpoint_registry::entry& entry) const {
+  const auto found = stats_.find(entry.record.id);
+  return !entry.record.draining && !entry.address_reused &&
+         !zones_out_.contains(entry.record.zone) && found != stats_.end() &&
+         found->second.paused_until <= now &&
+         GroupOf(now, entry) == candidate_group::kWarm &&
+         !limits_.LimitOf(entry.record.id).has_value();
+}
+
 bool endpoint_selector::IsOnlyPaused(
     time_point now,
     const endpoint_registry::entry& entry) const {
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -103,7 +103,10 @@
       [self](const endpoint_id& id) { self->requests_->OnConnectionIdle(id); });
   process->requests_ = std::make_unique<request_handler>(
       loop, process->shared_state_, *process->pools_, process->telemetry_,
-      std::mt19937_64(random()));
+      settings.callers.ip, std::mt19937_64(random()));
+  process->prober_ = std::make_unique<reach_prober>(loop, settings.callers.ip,
+                                                    process->shared_state_,
+                                                    std::mt19937_64(random()));
   process->requests_->OnEndpointLeaving(
       [self](const endpoint_id& id) { self->OnEndpointLeaving(id); });
   process->store_ = std::make_unique<store_sync>(
@@ -125,11 +128,6 @@
   if (!listening.has_value()) {
     return listening.error();
   }
-  process->stop_ = std::make_unique<planned_stop>(
-      loop,
-      std::vector{process->caller_server_.get(),
-                  process->directory_server_.get()},
-      *process->requests_, [self] { self->StopProcess(); });
   auto peers = peer_gossip::Create(
       loop, settings, *process->store_, process->shared_state_,
       process->telemetry_,
@@ -138,12 +136,23 @@
           .on_departure =
               [self](const host_id& from, const endpoint_departure& departure) {
                 self->OnPeerDeparture(from, departure);
+              },
+          .on_forwarded =
+              [self](http_request request, const http_responder& responder) {
+                self->requests_->HandleForwarded(std::move(request), responder);
               }},
       std::mt19937_64(random()));
   if (!peers.has_value()) {
     return peers.error();
   }
   process->peers_ = std::move(peers.value());
+  process->requests_->SetForwardingHosts(
+      [self] { return self->peers_->ForwardingHosts(); });
+  process->stop_ = std::make_unique<planned_stop>(
+      loop,
+      std::vector{process->caller_server_.get(),
+                  process->directory_server_.get(), &process->peers_->server()},
+      *process->requests_, [self] { self->StopProcess(); });
   process->store_->Start();
   process->store_->Announce(object_kind::kHosts, settings.host.value(),
                             WriteHostRecord(process->peers_->self()));
@@ -266,6 +275,9 @@
   ApplyEndpointChanges(shared_state_.registry.RemoveExpired(now));
   ApplyZonesOut();
   pools_->MaintainConnections();
+  if (route_table_ != nullptr) {
+    prober_->Run(now, *route_table_);
+  }
   ReportReach();
   // A host that becomes ready does not change its membership state, so the
   // entry hosts have to be checked periodically.
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -18,6 +18,7 @@
 #include "trefoilmill_entry/connection_pools.h"
 #include "trefoilmill_entry/peer_gossip.h"
 #include "trefoilmill_entry/planned_stop.h"
+#include "trefoilmill_entry/reach_prober.h"
 #include "trefoilmill_entry/request_handler.h"
 #include "trefoilmill_entry/store_sync.h"
 #include "trefoilmill_entry/telemetry.h"
@@ -120,6 +121,7 @@
   int housekeeping_runs_ = 0;
   std::unique_ptr<connection_pools> pools_;
   std::unique_ptr<request_handler> requests_;
+  std::unique_ptr<reach_prober> prober_;
   std::unique_ptr<store_sync> store_;
   std::unique_ptr<peer_gossip> peers_;
   std::unique_ptr<http_server> caller_server_;
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -14,6 +14,9 @@
 namespace trefoilmill::entry {
 namespace {
 
+/// Added to the headers of a request that is passed on to another host.
+constexpr std::size_t kForwardingHeaderBytes = 256;
+
 /// Whether a listed record tells more than what is known of the endpoint.
 bool IsNews(const endpoint_registry::entry* known,
             const endpoint_record& listed) {
@@ -98,6 +101,10 @@
   caller_server_->SetLimits(config.callers.max_header_bytes,
                             config.callers.max_body_bytes,
                             config.callers.idle_timeout * kIdleTimeoutFactor);
+  peers_->server().SetLimits(
+      config.callers.max_header_bytes + kForwardingHeaderBytes,
+      config.callers.max_body_bytes,
+      config.callers.idle_timeout * kIdleTimeoutFactor);
   requests_->SetRouteTable(route_table_);
   hosts_changed_ = true;
   ApplyHostChanges();
@@ -305,7 +312,7 @@
   if (peers_ == nullptr || stop_->begun()) {
     return;
   }
-  auto entry_hosts = peers_->EntryHosts();
+  auto entry_hosts = peers_->SharingHosts();
   if (entry_hosts == entry_hosts_) {
     return;
   }
--- a/src/trefoilmill_entry/fleet_membership.cc
+++ b/src/trefoilmill_entry/fleet_membership.cc
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "trefoilmill/process/entry_hosts.h"
+#include "trefoilmill/wire/log_messages.h"
 #include "trefoilmill_entry/object_digests.h"
 
 namespace trefoilmill::entry {
@@ -119,7 +120,48 @@
   RunActions(membership_.Stop(loop_.Now()));
 }
 
+void fleet_membership::SetCutOff(const host_id& host,
+                                 bool is_cut_off,
+                                 time_point until) {
+  const bool was_cut_off = IsCutOff(host);
+  if (is_cut_off) {
+    cut_off_until_[host] = until;
+  } else {
+    cut_off_until_.erase(host);
+  }
+  if (is_cut_off == was_cut_off || host == self_.id) {
+    return;
+  }
+  telemetry_.log->Info(
+      is_cut_off ? log_message::kPeerCutOff : log_message::kPeerReaches,
+      {.peer = host});
+}
+
+bool fleet_membership::IsCutOff(const host_id& host) const {
+  const auto found = cut_off_until_.find(host);
+  return found != cut_off_until_.end() && loop_.Now() < found->second;
+}
+
 std::vector<host_record> fleet_membership::EntryHosts() const {
+  std::vector<host_record> hosts;
+  for (const member& m : std::views::values(membership_.members())) {
+    if (IsServing(m) && !IsCutOff(m.host.id)) {
+      hosts.push_back(m.host);
+    }
+  }
+  return hosts.empty() ? EntryHostsIfAllReach()
+                       : SelectAdvertisedHosts(std::move(hosts));
+}
+
+std::vector<host_record> fleet_membership::ForwardingHosts() const {
+  std::vector<host_record> hosts = EntryHosts();
+  std::erase_if(hosts, [this](const host_record& host) {
+    return host.id == self_.id || IsCutOff(host.id);
+  });
+  return hosts;
+}
+
+std::vector<host_record> fleet_membership::EntryHostsIfAllReach() const {
   std::vector<host_record> hosts;
   for (const member& m : std::views::values(membership_.members())) {
     if (IsServing(m)) {
--- a/src/trefoilmill_entry/fleet_membership.h
+++ b/src/trefoilmill_entry/fleet_membership.h
@@ -65,8 +65,21 @@
   const std::map<host_id, member>& members() const {
     return membership_.members();
   }
-  /// The hosts named to callers, chosen from those that can serve.
+  /// Sets whether a host, this one or another, reaches the endpoints; that it
+  /// does not holds until `until` at the most.
+  void SetCutOff(const host_id& host, bool is_cut_off, time_point until);
+  /// Whether the host does not reach the endpoints, as far as is known.
+  bool IsCutOff(const host_id& host) const;
+
+  /// The hosts named to callers, chosen from those that can serve and reach the
+  /// endpoints or, if none does, from all that can serve.
   std::vector<host_record> EntryHosts() const;
+  /// The hosts that would be named to callers if all reached the endpoints. A
+  /// host that is cut off keeps its share of what all hosts have in common.
+  std::vector<host_record> EntryHostsIfAllReach() const;
+  /// The other hosts that callers' requests can be passed on to: those named to
+  /// callers that reach the endpoints.
+  std::vector<host_record> ForwardingHosts() const;
   /// Hosts that may be sending to endpoints, including those known to be dead.
   std::vector<host_record> KnownHosts() const;
   /// The other hosts that this host's news concerns: those alive in its zone;
@@ -90,6 +103,8 @@
   host_record self_;
   std::vector<socket_address> seeds_;
   membership membership_;
+  /// Hosts that are cut off from the endpoints, and how long that is believed.
+  std::map<host_id, time_point> cut_off_until_;
   timer membership_timer_;
   timer hello_timer_;
 };
--- a/src/trefoilmill_entry/peer_copies.cc
+++ b/src/trefoilmill_entry/peer_copies.cc
@@ -6,6 +6,7 @@
 
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill_entry/object_digests.h"
+#include "trefoilmill_entry/request_forwarder.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -33,14 +34,19 @@
     const entry_settings& settings,
     store_sync& store,
     const fleet_membership& fleet,
-    telemetry& process_telemetry) {
+    telemetry& process_telemetry,
+    http_server::request_handler on_forwarded) {
   std::unique_ptr<peer_copies> created(
       new peer_copies(loop, settings, store, fleet, process_telemetry));
   auto server = http_server::Listen(
       loop, settings.peers, {},
-      [copies = created.get()](const http_request& request,
-                               const http_responder& responder) {
-        copies->OnRequest(request, responder);
+      [copies = created.get(), on_forwarded = std::move(on_forwarded)](
+          http_request request, const http_responder& responder) {
+        if (TakeForwardedMark(request)) {
+          on_forwarded(std::move(request), responder);
+        } else {
+          copies->OnRequest(request, responder);
+        }
       });
   if (!server.has_value()) {
     return server.error();
--- a/src/trefoilmill_entry/peer_copies.h
+++ b/src/trefoilmill_entry/peer_copies.h
@@ -28,13 +28,17 @@
   };
 
   /// Binds the TCP port of `settings.peers`; fails if that is not possible.
+  /// `on_forwarded` gets callers' requests that other hosts pass on.
   static result<std::unique_ptr<peer_copies>> Listen(
       event_loop& loop,
       const entry_settings& settings,
       store_sync& store,
       const fleet_membership& fleet,
-      telemetry& process_telemetry);
+      telemetry& process_telemetry,
+      http_server::request_handler on_forwarded);
 
+  /// The server for other hosts' requests.
+  http_server& server() { return *server_; }
   /// Starts to compare this host's revisions with those of its peers.
   void Start();
   /// A feed stated the revision of a kind that its sender has. The sender is
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -1,5 +1,6 @@
 #include "trefoilmill_entry/peer_gossip.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -33,8 +34,9 @@
   created->fleet_ = std::make_unique<fleet_membership>(
       loop, settings, std::move(members.value()), *created->datagrams_,
       process_telemetry, std::move(on_event.on_hosts_changed));
-  auto copies = peer_copies::Listen(loop, settings, store, *created->fleet_,
-                                    process_telemetry);
+  auto copies =
+      peer_copies::Listen(loop, settings, store, *created->fleet_,
+                          process_telemetry, std::move(on_event.on_forwarded));
   if (!copies.has_value()) {
     return copies.error();
   }
@@ -90,6 +92,25 @@
   return fleet_->EntryHosts();
 }
 
+std::vector<host_record> peer_gossip::SharingHosts() const {
+  std::vector<host_record> sharing = fleet_->EntryHosts();
+  for (host_record& host : fleet_->EntryHostsIfAllReach()) {
+    if (std::ranges::find(sharing, host.id, &host_record::id) ==
+        sharing.end()) {
+      sharing.push_back(std::move(host));
+    }
+  }
+  return sharing;
+}
+
+std::vector<host_record> peer_gossip::ForwardingHosts() const {
+  return fleet_->ForwardingHosts();
+}
+
+http_server& peer_gossip::server() {
+  return copies_->server();
+}
+
 std::vector<host_record> peer_gossip::KnownHosts() const {
   return fleet_->KnownHosts();
 }
@@ -106,6 +127,9 @@
   void operator()(const endpoint_limits_message& limits) const {
     gossip.troubles_->OnLimits(from, limits);
   }
+  void operator()(const endpoint_reach_message& reach) const {
+    gossip.troubles_->OnReach(from, reach);
+  }
   void operator()(const store_feed& feed) const {
     gossip.feeds_->OnFeed(from, feed);
   }
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -35,6 +35,8 @@
     std::function<void()> on_hosts_changed;
     /// A peer reported that an endpoint is leaving.
     trouble_reports::departure_callback on_departure;
+    /// Another host passes a caller's request on to this one.
+    http_server::request_handler on_forwarded;
   };
 
   /// Binds the UDP and the TCP port of `settings.peers`. Fails if membership
@@ -68,8 +70,15 @@
   /// The hosts named to callers, chosen from those that are alive and have a
   /// configuration in force.
   std::vector<host_record> EntryHosts() const;
+  /// The hosts among which shares are divided: those named to callers, and
+  /// those that are not because they do not reach the endpoints.
+  std::vector<host_record> SharingHosts() const;
+  /// The other hosts that callers' requests can be passed on to.
+  std::vector<host_record> ForwardingHosts() const;
   /// Hosts that may be sending to endpoints, including those known to be dead.
   std::vector<host_record> KnownHosts() const;
+  /// The server for other hosts' requests.
+  http_server& server();
   /// This host's own record.
   const host_record& self() const { return fleet_->self(); }
 
--- /dev/null
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -0,0 +1,172 @@
+#include "trefoilmill_entry/request_forwarder.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "platform/http_conversion.h"
+#include "trefoilmill/wire/log_messages.h"
+
+namespace trefoilmill::entry {
+namespace {
+
+/// Marks requests between hosts.
+constexpr char kForwardedHeader[] = "Trefoilmill-Forwarded";
+/// Time reserved for the way to the other host and back, which has to answer
+/// that much earlier.
+constexpr duration kPeerRoundTrip = std::chrono::milliseconds(5);
+/// Limit for opening a connection to another host.
+constexpr duration kConnectTimeout = std::chrono::milliseconds(100);
+/// Largest body of an answer that is accepted: 4 MiB.
+constexpr std::size_t kMaxAnswerBytes = 4 << 20;
+
+reason_code ReasonOf(http_failure failure) {
+  switch (failure) {
+    case http_failure::kTimeout:
+      return reason_code::kDeadlineExceeded;
+    case http_failure::kMalformed:
+      return reason_code::kMalformedReply;
+    case http_failure::kNotConnected:
+    case http_failure::kConnectionLost:
+      break;
+  }
+  return reason_code::kConnectionReset;
+}
+
+}  // namespace
+
+void MarkForwarded(http_request& request) {
+  request.headers.push_back({kForwardedHeader, "1"});
+}
+
+bool TakeForwardedMark(http_request& request) {
+  return std::erase_if(request.headers, [](const http_header& header) {
+           return SameHeaderName(header.name, kForwardedHeader);
+         }) > 0;
+}
+
+request_forwarder::request_forwarder(
+    event_loop& loop,
+    std::string local_ip,
+    telemetry& process_telemetry,
+    std::function<void(forwarded_request)> on_not_taken)
+    : loop_(loop),
+      telemetry_(process_telemetry),
+      on_not_taken_(std::move(on_not_taken)),
+      client_(loop,
+              std::move(local_ip),
+              {.connect_timeout = kConnectTimeout,
+               .max_body_bytes = kMaxAnswerBytes}) {}
+
+void request_forwarder::Forward(forwarded_request request,
+                                std::vector<host_record> peers) {
+  const number n = ++last_number_;
+  std::ranges::reverse(peers);
+  active_request& active =
+      active_
+          .emplace(n, active_request{.request = std::move(request),
+                                     .peers = std::move(peers)})
+          .first->second;
+  active.request.responder.OnPeerDisconnected(
+      [this, n] { OnCallerDisconnected(n); });
+  ScheduleDeadline(n, active);
+  SendToNext(n);
+}
+
+void request_forwarder::AnswerBy(time_point answer_by) {
+  for (auto& [n, active] : active_) {
+    active.request.answer_by = std::min(active.request.answer_by, answer_by);
+    ScheduleDeadline(n, active);
+  }
+}
+
+void request_forwarder::ScheduleDeadline(number n, active_request& active) {
+  const duration left = active.request.answer_by - loop_.Now();
+  active.deadline = loop_.RunAfter(std::max(left, duration::zero()), [this, n] {
+    Fail(n, reason_code::kDeadlineExceeded);
+  });
+}
+
+void request_forwarder::SendToNext(number n) {
+  active_request& active = active_.at(n);
+  const duration left = active.request.answer_by - loop_.Now();
+  if (active.peers.empty() || left <= kPeerRoundTrip) {
+    const auto ended = TakeOut(active_.find(n));
+    telemetry_.meter->Increment(metric::kForwardedRequests, {"not_taken"});
+    on_not_taken_(std::move(ended->request));
+    return;
+  }
+  const host_record peer = std::move(active.peers.back());
+  active.peers.pop_back();
+  http_request sent = platform::MakeForwardedRequest(active.request.request,
+                                                     left - kPeerRoundTrip);
+  MarkForwarded(sent);
+  active.sent = client_.Send(peer.peer, sent, left,
+                             [this, n, id = peer.id](http_result exchange) {
+                               OnResult(n, id, std::move(exchange));
+                             });
+}
+
+void request_forwarder::OnResult(number n,
+                                 const host_id& peer,
+                                 http_result exchange) {
+  const auto found = active_.find(n);
+  if (found == active_.end()) {
+    return;
+  }
+  if (exchange.response.has_value()) {
+    const auto ended = TakeOut(found);
+    telemetry_.meter->Increment(metric::kForwardedRequests, {"answered"});
+    ended->request.responder.Send(platform::MakeCallerResponse(
+        ended->request.id,
+        relayed_answer{.response = std::move(*exchange.response)}));
+    return;
+  }
+  const http_failure failure = *exchange.failure_reason;
+  telemetry_.log->Info(log_message::kForwardingFailed,
+                       {.request = found->second.request.id,
+                        .peer = peer,
+                        .reason = ReasonOf(failure),
+                        .outcome = failure == http_failure::kNotConnected
+                                       ? verdict::kNotRun
+                                       : verdict::kMayHaveRun});
+  if (failure == http_failure::kNotConnected) {
+    SendToNext(n);
+    return;
+  }
+  Fail(n, ReasonOf(failure));
+}
+
+void request_forwarder::Fail(number n, reason_code reason) {
+  const auto found = active_.find(n);
+  if (found == active_.end()) {
+    return;
+  }
+  const auto failed = TakeOut(found);
+  client_.Cancel(failed->sent);
+  telemetry_.meter->Increment(metric::kForwardedRequests, {"failed"});
+  failed->request.responder.Send(platform::MakeCallerResponse(
+      failed->request.id, failed_answer{.reason = reason}));
+}
+
+std::shared_ptr<request_forwarder::active_request> request_forwarder::TakeOut(
+    const std::map<number, active_request>::iterator& found) {
+  auto ended = std::make_shared<active_request>(std::move(found->second));
+  active_.erase(found);
+  loop_.Post([ended] {});
+  return ended;
+}
+
+// The other host notices that the connection closes, and stops the work that
+// may be stopped.
+void request_forwarder::OnCallerDisconnected(number n) {
+  const auto found = active_.find(n);
+  if (found == active_.end()) {
+    return;
+  }
+  client_.Cancel(found->second.sent);
+  telemetry_.meter->Increment(metric::kForwardedRequests, {"gone"});
+  TakeOut(found);
+}
+
+}  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -20,6 +20,9 @@
 /// All but the most urgent requests are refused while the event loop is late by
 /// more than the request's objective divided by this.
 constexpr int kLoopDelayDivisor = 3;
+/// When callers may retry a request that was refused because neither this host
+/// nor another known one reaches the endpoints.
+constexpr duration kCutOffRetryAfter = std::chrono::milliseconds(400);
 /// When callers may retry a request that was refused because of the loop delay.
 constexpr duration kOverloadRetryAfter = std::chrono::milliseconds(120);
 
@@ -29,12 +32,21 @@
                                  shared_request_state& shared_state,
                                  connection_pools& pools,
                                  telemetry& process_telemetry,
+                                 std::string local_ip,
                                  std::mt19937_64 random)
     : loop_(loop),
       shared_state_(shared_state),
       pools_(pools),
       telemetry_(process_telemetry),
-      random_(random) {}
+      random_(random),
+      forwarder_(loop,
+                 std::move(local_ip),
+                 process_telemetry,
+                 [this](forwarded_request not_taken) {
+                   HandleForwarded(std::move(not_taken.request),
+                                   not_taken.responder);
+                 }),
+      forwarding_hosts_([] { return std::vector<host_record>(); }) {}
 
 request_handler::~request_handler() = default;
 
@@ -74,35 +86,70 @@
 
 void request_handler::Handle(http_request request,
                              const http_responder& responder) {
-  const time_point now = loop_.Now();
+  auto routed = Route(std::move(request), responder);
+  if (!routed.has_value()) {
+    return;
+  }
+  if (NeedsOtherHost(loop_.Now(), *routed->matched) &&
+      ForwardIfPossible(*routed, responder)) {
+    return;
+  }
+  Run(std::move(*routed), responder);
+}
+
+void request_handler::HandleForwarded(http_request request,
+                                      const http_responder& responder) {
+  auto routed = Route(std::move(request), responder);
+  if (routed.has_value()) {
+    Run(std::move(*routed), responder);
+  }
+}
+
+std::optional<request_handler::routed_request> request_handler::Route(
+    http_request request,
+    const http_responder& responder) {
   auto parsed = platform::ParseCallerRequest(request);
   if (!parsed.has_value()) {
     Refuse(responder, request_id(), reason_code::kBadRequest, {});
-    return;
+    return std::nullopt;
   }
   const auto& caller = parsed.value();
   if (route_table_ == nullptr) {
     Refuse(responder, caller.id, reason_code::kNotReady, kNotReadyRetryAfter);
-    return;
+    return std::nullopt;
   }
   const route* matched = route_table_->Match(caller.host, request.target);
   if (matched == nullptr) {
     Refuse(responder, caller.id, reason_code::kUnknownService, {});
-    return;
+    return std::nullopt;
   }
   if (matched->priority > 0 &&
       loop_delay_ > matched->objective / kLoopDelayDivisor) {
     Refuse(responder, caller.id, reason_code::kOverloaded, kOverloadRetryAfter);
+    return std::nullopt;
+  }
+  return routed_request{
+      .id = caller.id,
+      .original = std::move(request),
+      .matched = matched,
+      .deadline = loop_.Now() + caller.time_left.value_or(matched->timeout)};
+}
+
+void request_handler::Run(routed_request routed,
+                          const http_responder& responder) {
+  const time_point now = loop_.Now();
+  if (shared_state_.selector.reach().is_cut_off()) {
+    Refuse(responder, routed.id, reason_code::kNoReplica, kCutOffRetryAfter);
     return;
   }
-  const time_point deadline = now + caller.time_left.value_or(matched->timeout);
+  const route& matched = *routed.matched;
   const request_number number(++last_number_);
   auto created = std::make_unique<active_request>(active_request{
-      .id = caller.id,
-      .original = std::move(request),
+      .id = routed.id,
+      .original = std::move(routed.original),
       .responder = responder,
-      .run = request_run(route_table_, *matched, SelectServices(*matched), now,
-                         deadline),
+      .run = request_run(route_table_, matched, SelectServices(matched), now,
+                         routed.deadline),
       .arrived = now});
   active_request& active = *created;
   active_requests_.emplace(number, std::move(created));
@@ -116,6 +163,7 @@
 }
 
 void request_handler::AnswerBy(time_point answer_by) {
+  forwarder_.AnswerBy(answer_by);
   shared_state_.answer_by = answer_by;
   std::vector<request_number> numbers;
   std::ranges::copy(std::views::keys(active_requests_),
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -6,8 +6,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
@@ -15,6 +18,7 @@
 #include "trefoilmill/request/request_run.h"
 #include "trefoilmill/version/route_table.h"
 #include "trefoilmill_entry/connection_pools.h"
+#include "trefoilmill_entry/request_forwarder.h"
 #include "trefoilmill_entry/telemetry.h"
 
 namespace trefoilmill::entry {
@@ -26,6 +30,7 @@
                   shared_request_state& shared_state,
                   connection_pools& pools,
                   telemetry& process_telemetry,
+                  std::string local_ip,
                   std::mt19937_64 random);
   ~request_handler();
 
@@ -39,6 +44,13 @@
   /// Routes a caller's request and answers it on `responder`. A request that
   /// cannot be routed is refused immediately.
   void Handle(http_request request, const http_responder& responder);
+  /// Handles a caller's request that another host passed on: it is not passed
+  /// on again.
+  void HandleForwarded(http_request request, const http_responder& responder);
+  /// Sets what returns the hosts that requests can be passed on to.
+  void SetForwardingHosts(std::function<std::vector<host_record>()> hosts) {
+    forwarding_hosts_ = std::move(hosts);
+  }
   /// Continues a request that waits for a connection, when one to the endpoint
   /// may be idle.
   void OnConnectionIdle(const endpoint_id& id);
@@ -53,13 +65,34 @@
   /// answered by `answer_by`.
   void AnswerBy(time_point answer_by);
   /// Number of requests that have no answer yet.
-  std::size_t unanswered() const { return unanswered_; }
+  std::size_t unanswered() const {
+    return unanswered_ + forwarder_.unanswered();
+  }
   /// Logs each request that has no answer yet, as the process stops now.
   void LogUnanswered();
 
  private:
   struct active_request;
+  /// A request that is routed, before it is run or passed on.
+  struct routed_request {
+    request_id id;
+    http_request original;
+    const route* matched;
+    time_point deadline;
+  };
 
+  /// Finds the route of a request; answers it and returns nullopt if it cannot
+  /// be served.
+  std::optional<routed_request> Route(http_request request,
+                                      const http_responder& responder);
+  /// Runs a request on this host's own connections.
+  void Run(routed_request routed, const http_responder& responder);
+  /// Whether another host can do what this one cannot: it does not reach the
+  /// endpoints, or not those of all services that the request needs.
+  bool NeedsOtherHost(time_point now, const route& matched) const;
+  /// Passes a request on if there is a host to take it; returns whether.
+  bool ForwardIfPossible(routed_request& routed,
+                         const http_responder& responder);
   /// The services of all shards, or one service drawn at random by weight.
   std::vector<service_id> SelectServices(const route& r);
   /// Answers a request that was not routed.
@@ -105,6 +138,8 @@
   connection_pools& pools_;
   telemetry& telemetry_;
   std::mt19937_64 random_;
+  request_forwarder forwarder_;
+  std::function<std::vector<host_record>()> forwarding_hosts_;
   std::function<void(const endpoint_id&)> on_endpoint_leaving_;
   std::shared_ptr<const route_table> route_table_;
   duration loop_delay_{};
--- a/src/trefoilmill_entry/trouble_reports.cc
+++ b/src/trefoilmill_entry/trouble_reports.cc
@@ -1,5 +1,6 @@
 #include "trefoilmill_entry/trouble_reports.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "trefoilmill/wire/log_messages.h"
@@ -13,14 +14,19 @@
 /// With at most this many entry hosts, reports on limits also go to other
 /// zones, as a zone may have no host that sends to a limited endpoint.
 constexpr std::size_t kMaxCrossZoneLimitReceivers = 64;
-/// How often a departure is reported, as datagrams may be lost.
+/// How often a departure, and that this host reaches the endpoints again, is
+/// reported, as datagrams may be lost.
 constexpr int kDepartureReports = 3;
+constexpr int kReachReports = 3;
+/// How long a host counts as cut off from the endpoints without saying so
+/// again.
+constexpr duration kCutOffBelief = std::chrono::milliseconds(1500);
 
 }  // namespace
 
 trouble_reports::trouble_reports(event_loop& loop,
                                  shared_request_state& shared_state,
-                                 const fleet_membership& fleet,
+                                 fleet_membership& fleet,
                                  peer_datagrams& datagrams,
                                  telemetry& process_telemetry,
                                  departure_callback on_departure)
@@ -75,6 +81,37 @@
 void trouble_reports::SendReports() {
   SendTroubles();
   SendLimits();
+  SendReach();
+}
+
+void trouble_reports::OnReach(const host_id& from,
+                              const endpoint_reach_message& reach) {
+  fleet_.SetCutOff(from, reach.is_cut_off, loop_.Now() + kCutOffBelief);
+}
+
+void trouble_reports::SendReach() {
+  const bool is_cut_off = shared_state_.selector.reach().is_cut_off();
+  fleet_.SetCutOff(fleet_.self().id, is_cut_off, loop_.Now() + kCutOffBelief);
+  if (is_cut_off) {
+    reach_reports_left_ = kReachReports;
+  } else if (reach_reports_left_ == 0) {
+    return;
+  } else {
+    --reach_reports_left_;
+  }
+  datagrams_.SendToAll(ReachReceivers(),
+                       endpoint_reach_message{.is_cut_off = is_cut_off});
+}
+
+std::vector<host_record> trouble_reports::ReachReceivers() const {
+  std::vector<host_record> receivers = fleet_.NearbyHosts();
+  for (const host_record& host : Receivers(kMaxCrossZoneLimitReceivers)) {
+    if (std::ranges::find(receivers, host.id, &host_record::id) ==
+        receivers.end()) {
+      receivers.push_back(host);
+    }
+  }
+  return receivers;
 }
 
 void trouble_reports::SendLimits() {
--- a/src/trefoilmill_entry/trouble_reports.h
+++ b/src/trefoilmill_entry/trouble_reports.h
@@ -1,6 +1,7 @@
 /// Reports on endpoints between hosts: which are slow or failing, which said
 /// that they are leaving, and which state a request limit, so that the other
-/// hosts need not find out by requests of their own.
+/// hosts need not find out by requests of their own; and whether the sender
+/// reaches the endpoints at all.
 #ifndef TREFOILMILL_ENTRY_TROUBLE_REPORTS_H_
 #define TREFOILMILL_ENTRY_TROUBLE_REPORTS_H_
 
@@ -31,7 +32,7 @@
   /// `shared_state`.
   trouble_reports(event_loop& loop,
                   shared_request_state& shared_state,
-                  const fleet_membership& fleet,
+                  fleet_membership& fleet,
                   peer_datagrams& datagrams,
                   telemetry& process_telemetry,
                   departure_callback on_departure);
@@ -43,6 +44,7 @@
   /// Applies the reports of another host.
   void OnReports(const host_id& from, const endpoint_troubles& troubles);
   void OnLimits(const host_id& from, const endpoint_limits_message& limits);
+  void OnReach(const host_id& from, const endpoint_reach_message& reach);
 
  private:
   /// A departure, and in how many more reports it is repeated.
@@ -54,6 +56,10 @@
   void SendReports();
   void SendTroubles();
   void SendLimits();
+  void SendReach();
+  /// The hosts to tell whether this one reaches the endpoints: those that name
+  /// hosts to callers near this one, and those named.
+  std::vector<host_record> ReachReceivers() const;
   /// The departures of the next report; counts their transmissions.
   std::vector<endpoint_departure> TakeDepartures();
   /// The hosts that reports go to: in a fleet with more entry hosts than
@@ -62,11 +68,13 @@
 
   event_loop& loop_;
   shared_request_state& shared_state_;
-  const fleet_membership& fleet_;
+  fleet_membership& fleet_;
   peer_datagrams& datagrams_;
   telemetry& telemetry_;
   departure_callback on_departure_;
   std::vector<pending_departure> departures_;
+  /// In how many more reports it is said that this host reaches the endpoints.
+  int reach_reports_left_ = 0;
   timer report_timer_;
 };
 
