Requests are passed on to hosts that are stopping if there are no others

Cause: hosts to pass requests on to were taken from those named to callers, which leaves out hosts that are leaving, although these serve until they end.

--- a/src/trefoilmill_entry/fleet_membership.cc
+++ b/src/trefoilmill_entry/fleet_membership.cc
@@ -154,10 +154,19 @@
 }
 
 std::vector<host_record> fleet_membership::ForwardingHosts() const {
-  std::vector<host_record> hosts = EntryHosts();
-  std::erase_if(hosts, [this](const host_record& host) {
+  const auto is_unusable = [this](const host_record& host) {
     return host.id == self_.id || IsCutOff(host.id);
-  });
+  };
+  std::vector<host_record> hosts = EntryHosts();
+  std::erase_if(hosts, is_unusable);
+  if (!hosts.empty()) {
+    return hosts;
+  }
+  for (const member& m : std::views::values(membership_.members())) {
+    if (m.state == member_state::kLeaving && !is_unusable(m.host)) {
+      hosts.push_back(m.host);
+    }
+  }
   return hosts;
 }
 
--- a/src/trefoilmill_entry/fleet_membership.h
+++ b/src/trefoilmill_entry/fleet_membership.h
@@ -78,7 +78,8 @@
   /// host that is cut off keeps its share of what all hosts have in common.
   std::vector<host_record> EntryHostsIfAllReach() const;
   /// The other hosts that callers' requests can be passed on to: those named to
-  /// callers that reach the endpoints.
+  /// callers that reach the endpoints or, if there are none, those that do and
+  /// are leaving.
   std::vector<host_record> ForwardingHosts() const;
   /// Hosts that may be sending to endpoints, including those known to be dead.
   std::vector<host_record> KnownHosts() const;
