A host is not cut off because new connections fail

A failed connection counts only for an endpoint without an open one, and silence has to last longer than a turn.

--- a/src/include/trefoilmill/process/endpoint_reach.h
+++ b/src/include/trefoilmill/process/endpoint_reach.h
@@ -4,7 +4,7 @@
 /// the store and the other hosts still reach it: connections hang or are reset,
 /// or go on while new ones are refused. A single endpoint that does not answer
 /// says nothing of this; several in a row, with no response from any in
-/// between, do.
+/// between and over more than one turn of the event loop, do.
 #ifndef TREFOILMILL_PROCESS_ENDPOINT_REACH_H_
 #define TREFOILMILL_PROCESS_ENDPOINT_REACH_H_
 
@@ -27,11 +27,16 @@
   /// @{
   /// A response arrived, whatever it says.
   void OnResponse(time_point now, const endpoint_id& id);
-  /// No response: a request is late or lost, or no connection could be opened.
+  /// No response: a request is late or lost.
   void OnNoResponse(time_point now, const endpoint_id& id);
-  /// A connection was opened, or could not be.
+  /// A connection was opened, or could not be. That no new one can be opened
+  /// says nothing of those that are open.
   void OnConnected(const endpoint_id& id) { unconnected_.erase(id); }
-  void OnConnectFailed(time_point now, const endpoint_id& id);
+  void OnConnectFailed(time_point now,
+                       const endpoint_id& id,
+                       bool has_connection);
+  /// Time passes without evidence. To be called several times a second.
+  void Update(time_point now);
   /// Discards the evidence of an endpoint that was removed or replaced.
   void Forget(const endpoint_id& id);
   /// @}
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -237,6 +237,10 @@
   /// Whether only the pause that the endpoint asked for prevents its use.
   bool IsOnlyPaused(time_point now,
                     const endpoint_registry::entry& entry) const;
+  /// Whether a connection to the endpoint is open, idle or busy.
+  static bool HasConnection(const endpoint_stats& stats) {
+    return stats.idle_connections > 0 || !stats.in_flight.empty();
+  }
   /// Latency to expect, relative to the expected one of a healthy endpoint.
   static double LatencyRatio(time_point now,
                              const endpoint_stats& stats,
--- a/src/libtrefoilmill/process/endpoint_reach.cc
+++ b/src/libtrefoilmill/process/endpoint_reach.cc
@@ -9,6 +9,9 @@
 /// no more when as many as the second have.
 constexpr std::size_t kUnansweredToCutOff = 5;
 constexpr std::size_t kAnsweredToReturn = 3;
+/// Timers that are due in one turn of the event loop run before responses that
+/// have arrived are read; silence has to last longer than such a turn.
+constexpr duration kMinSilence = std::chrono::milliseconds(30);
 /// New connections fail at this fraction of the endpoints, and at this many.
 constexpr double kImpairedFraction = 0.125;
 constexpr std::size_t kMinImpaired = 2;
@@ -39,21 +42,34 @@
   if (!unanswered_since_.has_value()) {
     unanswered_since_ = now;
   }
-  if (!is_cut_off_ && unanswered_.size() >= AtMostKnown(kUnansweredToCutOff)) {
-    is_cut_off_ = true;
-    answered_.clear();
+  Update(now);
+}
+
+void endpoint_reach::Update(time_point now) {
+  if (is_cut_off_ || unanswered_.size() < AtMostKnown(kUnansweredToCutOff) ||
+      now - *unanswered_since_ < kMinSilence) {
+    return;
   }
+  is_cut_off_ = true;
+  answered_.clear();
 }
 
-void endpoint_reach::OnConnectFailed(time_point now, const endpoint_id& id) {
+void endpoint_reach::OnConnectFailed(time_point now,
+                                     const endpoint_id& id,
+                                     bool has_connection) {
   unconnected_.insert(id);
-  OnNoResponse(now, id);
+  if (!has_connection) {
+    OnNoResponse(now, id);
+  }
 }
 
 void endpoint_reach::Forget(const endpoint_id& id) {
   unanswered_.erase(id);
   answered_.erase(id);
   unconnected_.erase(id);
+  if (unanswered_.empty()) {
+    unanswered_since_.reset();
+  }
 }
 
 bool endpoint_reach::is_impaired() const {
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -109,7 +109,7 @@
   endpoint_stats& stats = stats_[id];
   stats.backoff = std::clamp(stats.backoff * 2, kInitialBackoff, kMaxBackoff);
   stats.backoff_until = now + stats.backoff;
-  reach_.OnConnectFailed(now, id);
+  reach_.OnConnectFailed(now, id, HasConnection(stats));
 }
 
 void endpoint_selector::OnConnected(const endpoint_id& id) {
@@ -160,8 +160,7 @@
       registry.EndpointsOf(service), [&](const endpoint_id& id) {
         const auto found = stats_.find(id);
         return IsUsableButForLimit(now, *registry.Find(id)) &&
-               (found->second.idle_connections > 0 ||
-                !found->second.in_flight.empty());
+               HasConnection(found->second);
       });
 }
 
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -275,10 +275,7 @@
   ApplyEndpointChanges(shared_state_.registry.RemoveExpired(now));
   ApplyZonesOut();
   pools_->MaintainConnections();
-  if (route_table_ != nullptr) {
-    prober_->Run(now, *route_table_);
-  }
-  ReportReach();
+  UpdateReach(now);
   // A host that becomes ready does not change its membership state, so the
   // entry hosts have to be checked periodically.
   if (++housekeeping_runs_ % kHousekeepingRunsPerHostCheck == 0) {
@@ -293,8 +290,12 @@
   telemetry_.log->Flush();
 }
 
-void entry_process::ReportReach() {
-  const endpoint_reach& reach = shared_state_.selector.reach();
+void entry_process::UpdateReach(time_point now) {
+  endpoint_reach& reach = shared_state_.selector.reach();
+  reach.Update(now);
+  if (route_table_ != nullptr) {
+    prober_->Run(now, *route_table_);
+  }
   if (reach.is_cut_off() == was_cut_off_) {
     return;
   }
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -93,8 +93,9 @@
   void OnReadinessRequest(const http_request& request,
                           const http_responder& responder);
   void RunHousekeeping();
-  /// Logs a change of whether this host reaches the endpoints.
-  void ReportReach();
+  /// Probes endpoints if necessary, and logs a change of whether this host
+  /// reaches them.
+  void UpdateReach(time_point now);
   void ReloadSettings();
   /// Announces that this host leaves, and begins the planned stop.
   void BeginShutdown();
