Responses without end: a total limit on their bytes

The connection now counts the bytes of a response, and closes above what the largest allowed body can take.

--- a/src/libtmnet/http_connection.cc
+++ b/src/libtmnet/http_connection.cc
@@ -22,6 +22,10 @@
 // the timer of the request or close an idle connection.
 constexpr timeval kEvhttpTimeout{.tv_sec = 365L * 24 * 3600, .tv_usec = 0};
 constexpr ev_ssize_t kMaxResponseHeaderBytes = 65536;
+// A response may have this many bytes for each allowed byte of its body, in
+// addition to its headers: chunks have lengths. evhttp limits neither the
+// length of a chunk's first line nor the number of interim responses.
+constexpr std::size_t kMaxBytesPerBodyByte = 2;
 
 enum class connection_state {
   kClosed,
@@ -110,6 +114,8 @@
   evhttp_connection* evcon = nullptr;
   bufferevent* bev = nullptr;
   evhttp_request* placeholder = nullptr;
+  // Bytes received since the request in progress was sent.
+  std::size_t received_bytes = 0;
   // evhttp's event callback, which the first Send() calls.
   bufferevent_event_cb evhttp_event_cb = nullptr;
   void* evhttp_cb_arg = nullptr;
@@ -134,6 +140,9 @@
 
   static void OnBufferEvent(bufferevent* bev, short events, void* self);
   static void OnUnsolicitedData(bufferevent* bev, void* self);
+  static void OnInputChanged(evbuffer* input,
+                             const evbuffer_cb_info* change,
+                             void* self);
   static void OnEvhttpResponse(evhttp_request* evreq, void* self);
   static void OnEvhttpError(evhttp_request_error code, void* self);
   static void OnEvhttpClosed(evhttp_connection* evcon, void* self);
@@ -143,6 +152,7 @@
   void HandleConnected();
   void HandleConnectFailed();
   void HandleIdleClose();
+  void HandleTooLong();
   void StartRequest(const http_request& request,
                     duration timeout,
                     result_callback done);
@@ -237,11 +247,31 @@
                     &impl::OnBufferEvent, this);
   bufferevent_set_timeouts(bev, nullptr, nullptr);
   bufferevent_enable(bev, EV_READ);
+  evbuffer_add_cb(bufferevent_get_input(bev), &impl::OnInputChanged, this);
   if (const auto done = std::exchange(on_connect_done, nullptr)) {
     done(true);
   }
 }
 
+void http_connection::impl::OnInputChanged(evbuffer*,
+                                           const evbuffer_cb_info* change,
+                                           void* self) {
+  auto* connection = static_cast<impl*>(self);
+  const std::size_t limit =
+      kMaxResponseHeaderBytes +
+      kMaxBytesPerBodyByte * connection->opts.max_body_bytes;
+  const bool was_within = connection->received_bytes <= limit;
+  connection->received_bytes += change->n_added;
+  if (connection->current_state == connection_state::kBusy && was_within &&
+      connection->received_bytes > limit) {
+    connection->PostIfCurrent(&impl::HandleTooLong);
+  }
+}
+
+void http_connection::impl::HandleTooLong() {
+  FinishRequest({.failure_reason = http_failure::kMalformed}, false);
+}
+
 void http_connection::impl::HandleConnectFailed() {
   Release();
   if (const auto done = std::exchange(on_connect_done, nullptr)) {
@@ -278,6 +308,7 @@
   current_state = connection_state::kBusy;
   ++generation;
   evhttp_failure.reset();
+  received_bytes = 0;
   on_request_done = std::move(done);
   deadline = loop.RunAfter(timeout, [this] {
     FinishRequest({.failure_reason = http_failure::kTimeout}, false);
