--- a/src/libtmnet/http_responder_impl.h
+++ b/src/libtmnet/http_responder_impl.h
@@ -33,6 +33,9 @@
   std::uint64_t id = 0;
   bufferevent* bev = nullptr;
   evhttp_connection* evcon = nullptr;
+  /// Bytes that evhttp may leave unparsed, as it limits the length of neither a
+  /// chunk's first line nor what follows a request.
+  std::size_t max_unparsed_bytes = 0;
   /// When the connection was accepted.
   time_point accepted_at;
   /// Whether part of a request has arrived since the latest response, or since
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -62,6 +62,9 @@
   evhttp_clear_headers(&query);
 }
 
+/// Added to the limits of headers and body: what one read may bring.
+constexpr std::size_t kUnparsedReserveBytes = 64 << 10;
+
 }  // namespace
 
 bufferevent* http_server::impl::MakeBufferevent(event_base* base, void* self) {
@@ -97,7 +100,12 @@
   static std::uint64_t last_id = 0;
   auto& connection = connections[evcon];
   connection = std::make_shared<server_connection>(server_connection{
-      .id = ++last_id, .bev = bev, .evcon = evcon, .accepted_at = loop.Now()});
+      .id = ++last_id,
+      .bev = bev,
+      .evcon = evcon,
+      .max_unparsed_bytes = kUnparsedReserveBytes + options.max_header_bytes +
+                            options.max_body_bytes,
+      .accepted_at = loop.Now()});
   evbuffer_add_cb(bufferevent_get_output(bev), &impl::OnOutputChanged,
                   connection.get());
   evbuffer_add_cb(bufferevent_get_input(bev), &impl::OnInputChanged,
@@ -164,11 +172,19 @@
   connection->writing_response = false;
 }
 
-void http_server::impl::OnInputChanged(evbuffer* /*input*/,
+void http_server::impl::OnInputChanged(evbuffer* input,
                                        const evbuffer_cb_info* change,
                                        void* self) {
-  if (change->n_added > 0) {
-    static_cast<server_connection*>(self)->request_begun = true;
+  if (change->n_added == 0) {
+    return;
+  }
+  auto* connection = static_cast<server_connection*>(self);
+  connection->request_begun = true;
+  if (evbuffer_get_length(input) > connection->max_unparsed_bytes &&
+      !connection->closed_by_server) {
+    // The event loop then detects the end of the connection and frees it.
+    connection->closed_by_server = true;
+    shutdown(bufferevent_getfd(connection->bev), SHUT_RDWR);
   }
 }
 
