--- a/src/libtmnet/http_server_test.cc
+++ b/src/libtmnet/http_server_test.cc
@@ -250,4 +250,26 @@
   BOOST_TEST(RunUntil(*loop, [&] { return peer.received().ends_with("r2"); }));
 }
 
+BOOST_AUTO_TEST_CASE(a_cancelled_request_closes_its_connection) {
+  const auto loop = MakeLoop();
+  std::optional<http_responder> held;
+  bool disconnected = false;
+  const auto server = http_server::Listen(
+      *loop, {kTestIp, 0}, {},
+      [&](const http_request&, const http_responder& responder) {
+        held = responder;
+        responder.OnPeerDisconnected([&] { disconnected = true; });
+      });
+  http_client client(*loop);
+  bool reported = false;
+  const auto handle = client.Send(
+      {kTestIp, server.value()->port()}, {.method = "GET", .path = "/"},
+      std::chrono::seconds(10), [&](const http_result&) { reported = true; });
+  BOOST_REQUIRE(RunUntil(*loop, [&] { return held.has_value(); }));
+  client.Cancel(handle);
+  BOOST_TEST(RunUntil(*loop, [&] { return disconnected; }));
+  client.Cancel(handle);
+  BOOST_TEST(!reported);
+}
+
 }  // namespace trefoilmill
