A host that declines a forwarded request names the hosts that are cut off

Such a host now declines with a mark and the names of hosts that told it the same; the sender learns them and offers the request to others, four in all. Only first-hand knowledge is passed on. request_forwarder_test: new; the case of many cut-off hosts fails without it by construction.

--- a/src/libtmnet/http_endless_request_test.cc
+++ b/src/libtmnet/http_endless_request_test.cc
@@ -14,7 +14,7 @@
 constexpr std::size_t kMaxBodyBytes = 1 << 20;
 /// What the server may take, and what socket buffers hold.
 constexpr std::size_t kMaxSentBytes = 2 * kMaxBodyBytes + (15 << 20);
-const std::string kFiller(65536, 'a');
+const std::string filler(65536, 'a');
 
 /// What a caller sends: a beginning, and then the same again and again.
 struct flood {
@@ -26,25 +26,25 @@
   }
 };
 
-const std::string kHead = "POST / HTTP/1.1\r\nHost: a\r\n";
-const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+const std::string chunked_head = head + "Transfer-Encoding: chunked\r\n\r\n";
 
-const flood kFloods[] = {
-    {"request line", "GET /", kFiller},
-    {"header line", kHead + "X: ", kFiller},
-    {"header lines", kHead, "X: " + kFiller + "\r\n"},
-    {"body of a huge length", kHead + "Content-Length: 9000000000000\r\n\r\n",
-     kFiller},
-    {"chunks", kChunkedHead, "10000\r\n" + kFiller + "\r\n"},
-    {"chunk length", kChunkedHead, kFiller},
-    {"zeros of a chunk length", kChunkedHead, std::string(65536, '0')},
-    {"trailer line", kChunkedHead + "0\r\nX: ", kFiller},
+const flood floods[] = {
+    {"request line", "GET /", filler},
+    {"header line", head + "X: ", filler},
+    {"header lines", head, "X: " + filler + "\r\n"},
+    {"body of a huge length", head + "Content-Length: 9000000000000\r\n\r\n",
+     filler},
+    {"chunks", chunked_head, "10000\r\n" + filler + "\r\n"},
+    {"chunk length", chunked_head, filler},
+    {"zeros of a chunk length", chunked_head, std::string(65536, '0')},
+    {"trailer line", chunked_head + "0\r\nX: ", filler},
 };
 
 }  // namespace
 
 BOOST_DATA_TEST_CASE(bytes_without_end_are_cut_off,
-                     boost::unit_test::data::make(kFloods),
+                     boost::unit_test::data::make(floods),
                      sent) {
   const auto loop = MakeLoop();
   const auto server = http_server::Listen(
--- a/src/libtmnet/http_endless_response_test.cc
+++ b/src/libtmnet/http_endless_response_test.cc
@@ -37,27 +37,27 @@
   }
 };
 
-const std::string kHead = "HTTP/1.1 200 OK\r\n";
-const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
-const std::string kFiller(4096, 'a');
+const std::string head = "HTTP/1.1 200 OK\r\n";
+const std::string chunked_head = head + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string filler(4096, 'a');
 
-const flood kFloods[] = {
-    {"status line", "HTTP/1.1 200 ", kFiller},
-    {"no status line at all", "", kFiller},
-    {"header line", kHead + "X: ", kFiller},
-    {"header lines", kHead, "X: " + std::string(100, 'a') + "\r\n"},
+const flood floods[] = {
+    {"status line", "HTTP/1.1 200 ", filler},
+    {"no status line at all", "", filler},
+    {"header line", head + "X: ", filler},
+    {"header lines", head, "X: " + std::string(100, 'a') + "\r\n"},
     {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-    {"body up to the end of the connection", kHead + "\r\n", kFiller},
-    {"body of a huge length", kHead + "Content-Length: 9000000000000\r\n\r\n",
-     kFiller},
-    {"chunks", kChunkedHead, "1000\r\n" + kFiller + "\r\n"},
-    {"chunk of a huge length", kChunkedHead + "7fffffffffff\r\n", kFiller},
-    {"chunk length", kChunkedHead, kFiller},
-    {"zeros of a chunk length", kChunkedHead, std::string(4096, '0')},
-    {"trailer line", kChunkedHead + "0\r\nX: ", kFiller},
-    {"trailer lines", kChunkedHead + "0\r\n",
+    {"body up to the end of the connection", head + "\r\n", filler},
+    {"body of a huge length", head + "Content-Length: 9000000000000\r\n\r\n",
+     filler},
+    {"chunks", chunked_head, "1000\r\n" + filler + "\r\n"},
+    {"chunk of a huge length", chunked_head + "7fffffffffff\r\n", filler},
+    {"chunk length", chunked_head, filler},
+    {"zeros of a chunk length", chunked_head, std::string(4096, '0')},
+    {"trailer line", chunked_head + "0\r\nX: ", filler},
+    {"trailer lines", chunked_head + "0\r\n",
      "X: " + std::string(100, 'a') + "\r\n"},
-    {"after a whole response", kHead + "Content-Length: 2\r\n\r\nok", kFiller},
+    {"after a whole response", head + "Content-Length: 2\r\n\r\nok", filler},
 };
 
 /// Accepts one connection and floods it once a request has arrived, on a thread
@@ -69,8 +69,9 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     inet_pton(AF_INET, kTestIp, &address.sin_addr);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    listen(listener_, 1);
+    BOOST_REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address),
+                       sizeof address) == 0);
+    BOOST_REQUIRE(listen(listener_, 1) == 0);
     socklen_t length = sizeof address;
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
     port_ = ntohs(address.sin_port);
@@ -125,7 +126,7 @@
 }  // namespace
 
 BOOST_DATA_TEST_CASE(bytes_without_end_are_cut_off,
-                     boost::unit_test::data::make(kFloods),
+                     boost::unit_test::data::make(floods),
                      sent) {
   const auto loop = MakeLoop();
   flooding_peer peer(sent);
--- a/src/libtrefoilmill/process/request_limits_test.cc
+++ b/src/libtrefoilmill/process/request_limits_test.cc
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const endpoint_id kEndpoint("e");
+const endpoint_id endpoint("e");
 constexpr time_point kStart(seconds(100));
 /// The platform judges windows of this length, and allows half as much again as
 /// the limit, and some requests.
@@ -24,6 +24,7 @@
 
 std::vector<host_id> Names(std::size_t count) {
   std::vector<host_id> names;
+  names.reserve(count);
   for (std::size_t number = 0; number < count; ++number) {
     names.emplace_back("h" + std::to_string(number));
   }
@@ -44,13 +45,13 @@
 
   void State(time_point now, std::optional<request_rate> limit) {
     for (request_limits& host : hosts) {
-      host.OnResponse(now, kEndpoint, limit);
+      host.OnResponse(now, endpoint, limit);
     }
   }
   void SendAll(time_point now) {
     for (request_limits& host : hosts) {
-      while (host.AllowsSend(now, kEndpoint)) {
-        host.OnSend(now, kEndpoint);
+      while (host.AllowsSend(now, endpoint)) {
+        host.OnSend(now, endpoint);
         sends.push_back(now);
       }
     }
@@ -73,10 +74,10 @@
 
 BOOST_AUTO_TEST_CASE(an_endpoint_without_a_limit_gets_any_number) {
   request_limits limits;
-  BOOST_TEST(!limits.OnResponse(kStart, kEndpoint, std::nullopt));
+  BOOST_TEST(!limits.OnResponse(kStart, endpoint, std::nullopt));
   for (int sent = 0; sent < 1000; ++sent) {
-    BOOST_TEST(limits.AllowsSend(kStart, kEndpoint));
-    limits.OnSend(kStart, kEndpoint);
+    BOOST_TEST(limits.AllowsSend(kStart, endpoint));
+    limits.OnSend(kStart, endpoint);
   }
 }
 
@@ -141,10 +142,10 @@
   host.SetSenders(host_id("h0"), Names(4));
   int sent = 0;
   for (int round = 0; round < 100; ++round) {
-    host.OnResponse(kStart + round * milliseconds(10), kEndpoint, std::nullopt);
-    host.OnResponse(kStart + round * milliseconds(10), kEndpoint, limit);
-    while (host.AllowsSend(kStart + round * milliseconds(10), kEndpoint)) {
-      host.OnSend(kStart + round * milliseconds(10), kEndpoint);
+    host.OnResponse(kStart + round * milliseconds(10), endpoint, std::nullopt);
+    host.OnResponse(kStart + round * milliseconds(10), endpoint, limit);
+    while (host.AllowsSend(kStart + round * milliseconds(10), endpoint)) {
+      host.OnSend(kStart + round * milliseconds(10), endpoint);
       ++sent;
     }
   }
@@ -154,13 +155,13 @@
 BOOST_AUTO_TEST_CASE(a_cancelled_send_is_given_back) {
   request_limits host;
   host.SetSenders(host_id("h0"), Names(4));
-  host.OnResponse(kStart, kEndpoint, request_rate::PerSecond(2));
+  host.OnResponse(kStart, endpoint, request_rate::PerSecond(2));
   const time_point later = kStart + seconds(2);
-  BOOST_TEST(host.AllowsSend(later, kEndpoint));
-  host.OnSend(later, kEndpoint);
-  BOOST_TEST(!host.AllowsSend(later, kEndpoint));
-  host.OnSendCancelled(kEndpoint);
-  BOOST_TEST(host.AllowsSend(later, kEndpoint));
+  BOOST_TEST(host.AllowsSend(later, endpoint));
+  host.OnSend(later, endpoint);
+  BOOST_TEST(!host.AllowsSend(later, endpoint));
+  host.OnSendCancelled(endpoint);
+  BOOST_TEST(host.AllowsSend(later, endpoint));
 }
 
 BOOST_AUTO_TEST_CASE(peers_learn_of_a_limit_and_of_its_end) {
@@ -169,32 +170,32 @@
   told.SetSenders(host_id("h0"), Names(2));
   peer.SetSenders(host_id("h1"), Names(2));
   const auto limit = request_rate::PerSecond(3);
-  BOOST_TEST(told.OnResponse(kStart, kEndpoint, limit));
+  BOOST_TEST(told.OnResponse(kStart, endpoint, limit));
   auto reports = told.TakeReports(kStart + milliseconds(250), 8);
   BOOST_REQUIRE(reports.size() == 1U);
   BOOST_TEST((reports[0].age == milliseconds(250)));
   BOOST_TEST(peer.OnPeerReport(kStart + milliseconds(251), reports[0]));
-  BOOST_TEST((peer.LimitOf(kEndpoint) == limit));
-  BOOST_TEST(!peer.AllowsSend(kStart + milliseconds(251), kEndpoint));
+  BOOST_TEST((peer.LimitOf(endpoint) == limit));
+  BOOST_TEST(!peer.AllowsSend(kStart + milliseconds(251), endpoint));
   // It was not told itself, and reports nothing.
   BOOST_TEST(peer.TakeReports(kStart + seconds(3), 8).empty());
 
-  BOOST_TEST(told.OnResponse(kStart + seconds(4), kEndpoint, std::nullopt));
+  BOOST_TEST(told.OnResponse(kStart + seconds(4), endpoint, std::nullopt));
   reports = told.TakeReports(kStart + seconds(4), 8);
   BOOST_REQUIRE(reports.size() == 1U);
   BOOST_TEST(peer.OnPeerReport(kStart + seconds(4), reports[0]));
-  BOOST_TEST(peer.AllowsSend(kStart + seconds(4), kEndpoint));
+  BOOST_TEST(peer.AllowsSend(kStart + seconds(4), endpoint));
 }
 
 BOOST_AUTO_TEST_CASE(an_older_report_changes_nothing) {
   request_limits host;
-  host.OnResponse(kStart, kEndpoint, request_rate::PerSecond(3));
-  host.OnResponse(kStart + seconds(1), kEndpoint, std::nullopt);
+  host.OnResponse(kStart, endpoint, request_rate::PerSecond(3));
+  host.OnResponse(kStart + seconds(1), endpoint, std::nullopt);
   BOOST_TEST(
-      !host.OnPeerReport(kStart + seconds(2), {.endpoint = kEndpoint,
+      !host.OnPeerReport(kStart + seconds(2), {.endpoint = endpoint,
                                                .per_thousand_seconds = 3000,
                                                .age = milliseconds(1500)}));
-  BOOST_TEST(!host.LimitOf(kEndpoint).has_value());
+  BOOST_TEST(!host.LimitOf(endpoint).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(limits_in_force_are_reported_again) {
@@ -202,7 +203,7 @@
   int reports = 0;
   for (int step = 0; step < 40; ++step) {
     const time_point now = kStart + step * milliseconds(250);
-    host.OnResponse(now, kEndpoint, request_rate::PerSecond(3));
+    host.OnResponse(now, endpoint, request_rate::PerSecond(3));
     reports += static_cast<int>(host.TakeReports(now, 8).size());
   }
   BOOST_TEST(reports >= 6);
@@ -213,14 +214,14 @@
 BOOST_AUTO_TEST_CASE(a_host_without_a_share_finds_out_by_itself) {
   request_limits host;
   host.SetSenders(host_id("standby"), Names(4));
-  host.OnResponse(kStart, kEndpoint, request_rate::PerSecond(50));
-  BOOST_TEST(!host.AllowsSend(kStart + seconds(29), kEndpoint));
+  host.OnResponse(kStart, endpoint, request_rate::PerSecond(50));
+  BOOST_TEST(!host.AllowsSend(kStart + seconds(29), endpoint));
   const time_point later = kStart + seconds(31);
-  BOOST_TEST(host.AllowsSend(later, kEndpoint));
-  host.OnSend(later, kEndpoint);
-  BOOST_TEST(!host.AllowsSend(later + seconds(1), kEndpoint));
-  host.OnResponse(later + seconds(1), kEndpoint, std::nullopt);
-  BOOST_TEST(host.AllowsSend(later + seconds(1), kEndpoint));
+  BOOST_TEST(host.AllowsSend(later, endpoint));
+  host.OnSend(later, endpoint);
+  BOOST_TEST(!host.AllowsSend(later + seconds(1), endpoint));
+  host.OnResponse(later + seconds(1), endpoint, std::nullopt);
+  BOOST_TEST(host.AllowsSend(later + seconds(1), endpoint));
 }
 
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/request/endpoint_simulation_test.h
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -141,6 +141,7 @@
       }
     }
     std::vector<host_id> names;
+    names.reserve(hosts_.size());
     for (std::size_t number = 0; number < hosts_.size(); ++number) {
       names.emplace_back("h" + std::to_string(number));
     }
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -146,8 +146,7 @@
     return peers.error();
   }
   process->peers_ = std::move(peers.value());
-  process->requests_->SetForwardingHosts(
-      [self] { return self->peers_->ForwardingHosts(); });
+  process->requests_->SetForwardingPeers(process->peers_->ForwardingPeers());
   process->stop_ = std::make_unique<planned_stop>(
       loop,
       std::vector{process->caller_server_.get(),
--- a/src/trefoilmill_entry/fleet_membership.cc
+++ b/src/trefoilmill_entry/fleet_membership.cc
@@ -128,6 +128,7 @@
     cut_off_until_[host] = until;
   } else {
     cut_off_until_.erase(host);
+    said_cut_off_until_.erase(host);
   }
   if (is_cut_off == was_cut_off || host == self_.id) {
     return;
@@ -137,9 +138,28 @@
       {.peer = host});
 }
 
+void fleet_membership::HearCutOff(const host_id& host, time_point until) {
+  if (host != self_.id) {
+    said_cut_off_until_[host] = until;
+  }
+}
+
 bool fleet_membership::IsCutOff(const host_id& host) const {
-  const auto found = cut_off_until_.find(host);
-  return found != cut_off_until_.end() && loop_.Now() < found->second;
+  const auto holds = [&](const std::map<host_id, time_point>& beliefs) {
+    const auto found = beliefs.find(host);
+    return found != beliefs.end() && loop_.Now() < found->second;
+  };
+  return holds(cut_off_until_) || holds(said_cut_off_until_);
+}
+
+std::vector<host_id> fleet_membership::CutOffHosts() const {
+  std::vector<host_id> hosts;
+  for (const auto& [host, until] : cut_off_until_) {
+    if (loop_.Now() < until) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
 }
 
 std::vector<host_record> fleet_membership::EntryHosts() const {
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -103,8 +103,13 @@
   return sharing;
 }
 
-std::vector<host_record> peer_gossip::ForwardingHosts() const {
-  return fleet_->ForwardingHosts();
+forwarding_peers peer_gossip::ForwardingPeers() {
+  return {.hosts = [this] { return fleet_->ForwardingHosts(); },
+          .cut_off = [this] { return fleet_->CutOffHosts(); },
+          .on_cut_off =
+              [this](const std::vector<host_id>& hosts) {
+                troubles_->OnCutOff(hosts);
+              }};
 }
 
 http_server& peer_gossip::server() {
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -19,6 +19,7 @@
 #include "trefoilmill_entry/fleet_membership.h"
 #include "trefoilmill_entry/peer_copies.h"
 #include "trefoilmill_entry/peer_datagrams.h"
+#include "trefoilmill_entry/request_forwarder.h"
 #include "trefoilmill_entry/store_feeds.h"
 #include "trefoilmill_entry/store_sync.h"
 #include "trefoilmill_entry/telemetry.h"
@@ -73,8 +74,8 @@
   /// The hosts among which shares are divided: those named to callers, and
   /// those that are not because they do not reach the endpoints.
   std::vector<host_record> SharingHosts() const;
-  /// The other hosts that callers' requests can be passed on to.
-  std::vector<host_record> ForwardingHosts() const;
+  /// Access to the other hosts for requests that are passed on.
+  forwarding_peers ForwardingPeers();
   /// Hosts that may be sending to endpoints, including those known to be dead.
   std::vector<host_record> KnownHosts() const;
   /// The server for other hosts' requests.
--- a/src/trefoilmill_entry/request_forwarder.cc
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -12,6 +12,13 @@
 
 /// Marks requests between hosts.
 constexpr char kForwardedHeader[] = "Trefoilmill-Forwarded";
+/// In the answer of a host that is cut off from the endpoints, too: the ids of
+/// such hosts, comma-separated, and how many at most.
+constexpr char kCutOffHeader[] = "Trefoilmill-Cut-Off";
+constexpr std::size_t kMaxNamedHosts = 128;
+constexpr int kHttpServiceUnavailable = 503;
+/// Hosts that a request is offered to, one after another.
+constexpr std::size_t kMaxHosts = 4;
 /// Time reserved for the way to the other host and back, which has to answer
 /// that much earlier.
 constexpr duration kPeerRoundTrip = std::chrono::milliseconds(5);
@@ -45,27 +52,34 @@
          }) > 0;
 }
 
+http_response MakeCutOffResponse(const std::vector<host_id>& cut_off) {
+  std::string names;
+  for (const host_id& host : cut_off | std::views::take(kMaxNamedHosts)) {
+    names += names.empty() ? host.value() : "," + host.value();
+  }
+  return {.status = kHttpServiceUnavailable,
+          .headers = {{kCutOffHeader, std::move(names)}}};
+}
+
 request_forwarder::request_forwarder(
     event_loop& loop,
     std::string local_ip,
     telemetry& process_telemetry,
+    std::mt19937_64 random,
     std::function<void(forwarded_request)> on_not_taken)
     : loop_(loop),
       telemetry_(process_telemetry),
+      random_(random),
       on_not_taken_(std::move(on_not_taken)),
       client_(loop,
               std::move(local_ip),
               {.connect_timeout = kConnectTimeout,
                .max_body_bytes = kMaxAnswerBytes}) {}
 
-void request_forwarder::Forward(forwarded_request request,
-                                std::vector<host_record> peers) {
+void request_forwarder::Forward(forwarded_request request) {
   const number n = ++last_number_;
-  std::ranges::reverse(peers);
   active_request& active =
-      active_
-          .emplace(n, active_request{.request = std::move(request),
-                                     .peers = std::move(peers)})
+      active_.emplace(n, active_request{.request = std::move(request)})
           .first->second;
   active.request.responder.OnPeerDisconnected(
       [this, n] { OnCallerDisconnected(n); });
@@ -87,22 +101,42 @@
   });
 }
 
+std::optional<host_record> request_forwarder::NextHost(
+    const std::vector<host_id>& tried) {
+  if (tried.size() >= kMaxHosts) {
+    return std::nullopt;
+  }
+  std::vector<host_record> hosts = peers_.hosts();
+  std::erase_if(hosts, [&tried](const host_record& host) {
+    return std::ranges::find(tried, host.id) != tried.end();
+  });
+  if (hosts.empty()) {
+    return std::nullopt;
+  }
+  return hosts[random_() % hosts.size()];
+}
+
 void request_forwarder::SendToNext(number n) {
   active_request& active = active_.at(n);
   const duration left = active.request.answer_by - loop_.Now();
-  if (active.peers.empty() || left <= kPeerRoundTrip) {
+  const std::optional<host_record> peer = NextHost(active.tried);
+  if (!peer.has_value() || left <= kPeerRoundTrip) {
     const auto ended = TakeOut(active_.find(n));
     telemetry_.meter->Increment(metric::kForwardedRequests, {"not_taken"});
     on_not_taken_(std::move(ended->request));
     return;
   }
-  const host_record peer = std::move(active.peers.back());
-  active.peers.pop_back();
+  active.tried.push_back(peer->id);
+  telemetry_.log->Info(
+      log_message::kRequestForwarded,
+      {.request = active.request.id,
+       .peer = peer->id,
+       .inputs = {{"tried", static_cast<std::int64_t>(active.tried.size())}}});
   http_request sent = platform::MakeForwardedRequest(active.request.request,
                                                      left - kPeerRoundTrip);
   MarkForwarded(sent);
-  active.sent = client_.Send(peer.peer, sent, left,
-                             [this, n, id = peer.id](http_result exchange) {
+  active.sent = client_.Send(peer->peer, sent, left,
+                             [this, n, id = peer->id](http_result exchange) {
                                OnResult(n, id, std::move(exchange));
                              });
 }
@@ -114,6 +148,10 @@
   if (found == active_.end()) {
     return;
   }
+  if (exchange.response.has_value() && LearnCutOff(peer, *exchange.response)) {
+    SendToNext(n);
+    return;
+  }
   if (exchange.response.has_value()) {
     const auto ended = TakeOut(found);
     telemetry_.meter->Increment(metric::kForwardedRequests, {"answered"});
@@ -137,6 +175,20 @@
   Fail(n, ReasonOf(failure));
 }
 
+bool request_forwarder::LearnCutOff(const host_id& peer,
+                                    const http_response& response) {
+  const auto names = response.Header(kCutOffHeader);
+  if (!names.has_value()) {
+    return false;
+  }
+  std::vector<host_id> cut_off = {peer};
+  for (const auto name : *names | std::views::split(',')) {
+    cut_off.emplace_back(std::string(name.begin(), name.end()));
+  }
+  peers_.on_cut_off(cut_off);
+  return true;
+}
+
 void request_forwarder::Fail(number n, reason_code reason) {
   const auto found = active_.find(n);
   if (found == active_.end()) {
--- a/src/trefoilmill_entry/request_forwarder.h
+++ b/src/trefoilmill_entry/request_forwarder.h
@@ -8,7 +8,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "trefoilmill/deployment.h"
@@ -33,9 +36,23 @@
 void MarkForwarded(http_request& request);
 /// Whether the request was forwarded; removes the mark.
 bool TakeForwardedMark(http_request& request);
+/// The answer of a host that does not reach the endpoints either to a forwarded
+/// request, which did not run. It names the hosts that it knows to be in the
+/// same situation.
+http_response MakeCutOffResponse(const std::vector<host_id>& cut_off);
 
-/// A request is sent to one host after another until one is connected; once it
-/// was sent, its fate is that host's. Used on the event loop's thread only.
+/// What forwarding needs to know of other hosts, and learns of them.
+struct forwarding_peers {
+  /// The hosts that a request can be passed on to.
+  std::function<std::vector<host_record>()> hosts;
+  /// The hosts known to be cut off from the endpoints.
+  std::function<std::vector<host_id>()> cut_off;
+  /// Called with hosts that are said to be cut off from the endpoints.
+  std::function<void(const std::vector<host_id>&)> on_cut_off;
+};
+
+/// A request is sent to one host after another until one takes it; once it was
+/// sent, its fate is that host's. Used on the event loop's thread only.
 class request_forwarder {
  public:
   /// Connects from `local_ip`. `on_not_taken` gets a request that could be sent
@@ -43,11 +60,13 @@
   request_forwarder(event_loop& loop,
                     std::string local_ip,
                     telemetry& process_telemetry,
+                    std::mt19937_64 random,
                     std::function<void(forwarded_request)> on_not_taken);
 
-  /// Sends the request to the first of `peers` that takes it, and its answer to
-  /// the caller.
-  void Forward(forwarded_request request, std::vector<host_record> peers);
+  void SetPeers(forwarding_peers peers) { peers_ = std::move(peers); }
+  const forwarding_peers& peers() const { return peers_; }
+  /// Sends the request to a host that takes it, and its answer to the caller.
+  void Forward(forwarded_request request);
   /// The process stops: requests in progress are answered by `answer_by`.
   void AnswerBy(time_point answer_by);
   /// Number of requests that have no answer yet.
@@ -57,14 +76,21 @@
   using number = std::uint64_t;
   struct active_request {
     forwarded_request request;
-    /// The hosts that were not tried yet.
-    std::vector<host_record> peers;
+    /// The hosts that were tried.
+    std::vector<host_id> tried;
     http_client::request_handle sent;
     timer deadline;
   };
 
+  /// A host that was not tried yet; nullopt if there is none or enough were.
+  /// Any is as good as another, so that those which are left share the requests
+  /// of those which are cut off.
+  std::optional<host_record> NextHost(const std::vector<host_id>& tried);
   void SendToNext(number n);
   void OnResult(number n, const host_id& peer, http_result exchange);
+  /// Learns of the hosts that a peer's answer names as cut off; returns whether
+  /// it is such an answer.
+  bool LearnCutOff(const host_id& peer, const http_response& response);
   void OnCallerDisconnected(number n);
   void ScheduleDeadline(number n, active_request& active);
   /// Removes a request, and destroys it later: this may run inside a callback
@@ -76,7 +102,9 @@
 
   event_loop& loop_;
   telemetry& telemetry_;
+  std::mt19937_64 random_;
   std::function<void(forwarded_request)> on_not_taken_;
+  forwarding_peers peers_;
   http_client client_;
   number last_number_ = 0;
   std::map<number, active_request> active_;
--- /dev/null
+++ b/src/trefoilmill_entry/request_forwarder_test.cc
@@ -0,0 +1,141 @@
+#define BOOST_TEST_MODULE request_forwarder
+#include "trefoilmill_entry/request_forwarder.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "../libtmnet/net_test_support.h"
+
+namespace trefoilmill::entry {
+namespace {
+
+using std::chrono::seconds;
+
+/// A host that passes requests on to other hosts, which are servers of the
+/// test.
+struct fixture {
+  std::unique_ptr<event_loop> loop = MakeLoop();
+  telemetry process{
+      .log = std::move(logger::Create({.to_stdout = false}).value()),
+      .meter = metrics::Create()};
+  std::vector<host_record> hosts;
+  std::vector<host_id> cut_off;
+  int run_here = 0;
+  request_forwarder forwarder{*loop, kTestIp, process, std::mt19937_64(1),
+                              [this](const forwarded_request& not_taken) {
+                                ++run_here;
+                                not_taken.responder.Send({.status = 503});
+                              }};
+  std::vector<std::unique_ptr<http_server>> servers;
+  std::unique_ptr<http_server> front =
+      Listen([this](http_request request, const http_responder& responder) {
+        forwarder.Forward({.id = request_id("r-1"),
+                           .request = std::move(request),
+                           .responder = responder,
+                           .answer_by = loop->Now() + seconds(5)});
+      });
+
+  fixture() {
+    forwarder.SetPeers({.hosts = [this] { return hosts; },
+                        .cut_off = [] { return std::vector<host_id>(); },
+                        .on_cut_off =
+                            [this](const std::vector<host_id>& named) {
+                              cut_off = named;
+                              std::erase_if(hosts, [&](const auto& host) {
+                                return std::ranges::find(named, host.id) !=
+                                       named.end();
+                              });
+                            }});
+  }
+
+  std::unique_ptr<http_server> Listen(http_server::request_handler handler) {
+    return std::move(
+        http_server::Listen(*loop, {kTestIp, 0}, {}, std::move(handler))
+            .value());
+  }
+  void AddHost(const std::string& name, http_server::request_handler handler) {
+    servers.push_back(Listen(std::move(handler)));
+    hosts.push_back(
+        {.id = host_id(name), .peer = {kTestIp, servers.back()->port()}});
+  }
+  http_result Ask() {
+    http_client caller(*loop);
+    std::optional<http_result> result;
+    caller.Send({kTestIp, front->port()}, {.method = "GET", .path = "/sweep"},
+                seconds(5),
+                [&](const http_result& exchange) { result = exchange; });
+    BOOST_REQUIRE(RunUntil(*loop, [&] { return result.has_value(); }));
+    return *result;
+  }
+};
+
+void Answer(const http_request&, const http_responder& responder) {
+  responder.Send({.status = 200, .body = "whole"});
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_host, fixture)
+
+BOOST_AUTO_TEST_CASE(passes_a_request_on_and_its_answer_back) {
+  bool marked = false;
+  AddHost("b", [&](http_request request, const http_responder& responder) {
+    marked = TakeForwardedMark(request) && !TakeForwardedMark(request);
+    Answer(request, responder);
+  });
+  const http_result result = Ask();
+  BOOST_REQUIRE(result.response.has_value());
+  BOOST_TEST(result.response->status == 200);
+  BOOST_TEST(result.response->body == "whole");
+  BOOST_TEST(marked);
+  BOOST_TEST(run_here == 0);
+}
+
+// Most hosts of a large fleet are cut off, and do not know of each other yet.
+BOOST_AUTO_TEST_CASE(learns_from_an_answer_which_hosts_are_cut_off) {
+  for (const std::string name : {"b", "c", "d", "e", "f", "g"}) {
+    AddHost(name, [](const http_request&, const http_responder& responder) {
+      responder.Send(
+          MakeCutOffResponse({host_id("b"), host_id("c"), host_id("d"),
+                              host_id("e"), host_id("f"), host_id("g")}));
+    });
+  }
+  AddHost("z", &Answer);
+  for (int asked = 0; asked < 5; ++asked) {
+    const http_result result = Ask();
+    BOOST_REQUIRE(result.response.has_value());
+    BOOST_TEST(result.response->status == 200);
+  }
+  BOOST_TEST(hosts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_a_request_that_no_host_takes) {
+  AddHost("b", [](const http_request&, const http_responder& responder) {
+    responder.Send(MakeCutOffResponse({}));
+  });
+  AddHost("gone", &Answer);
+  servers.pop_back();
+  BOOST_TEST(Ask().response->status == 503);
+  BOOST_TEST(run_here == 1);
+  BOOST_TEST((cut_off == std::vector{host_id("b")}));
+  BOOST_TEST(forwarder.unanswered() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_send_again_what_may_have_run) {
+  int ran = 0;
+  const auto lose = [&](const http_request&, const http_responder& responder) {
+    ++ran;
+    responder.Abort();
+  };
+  AddHost("b", lose);
+  AddHost("c", lose);
+  BOOST_TEST(Ask().response->status == 502);
+  BOOST_TEST(ran == 1);
+  BOOST_TEST(run_here == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -42,11 +42,10 @@
       forwarder_(loop,
                  std::move(local_ip),
                  process_telemetry,
+                 std::mt19937_64(random_()),
                  [this](forwarded_request not_taken) {
-                   HandleForwarded(std::move(not_taken.request),
-                                   not_taken.responder);
-                 }),
-      forwarding_hosts_([] { return std::vector<host_record>(); }) {}
+                   RunHere(std::move(not_taken.request), not_taken.responder);
+                 }) {}
 
 request_handler::~request_handler() = default;
 
@@ -90,8 +89,8 @@
   if (!routed.has_value()) {
     return;
   }
-  if (NeedsOtherHost(loop_.Now(), *routed->matched) &&
-      ForwardIfPossible(*routed, responder)) {
+  if (NeedsOtherHost(loop_.Now(), *routed->matched)) {
+    Forward(std::move(*routed), responder);
     return;
   }
   Run(std::move(*routed), responder);
@@ -99,6 +98,15 @@
 
 void request_handler::HandleForwarded(http_request request,
                                       const http_responder& responder) {
+  if (shared_state_.selector.reach().is_cut_off()) {
+    responder.Send(MakeCutOffResponse(forwarder_.peers().cut_off()));
+    return;
+  }
+  RunHere(std::move(request), responder);
+}
+
+void request_handler::RunHere(http_request request,
+                              const http_responder& responder) {
   auto routed = Route(std::move(request), responder);
   if (routed.has_value()) {
     Run(std::move(*routed), responder);
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -47,9 +47,9 @@
   /// Handles a caller's request that another host passed on: it is not passed
   /// on again.
   void HandleForwarded(http_request request, const http_responder& responder);
-  /// Sets what returns the hosts that requests can be passed on to.
-  void SetForwardingHosts(std::function<std::vector<host_record>()> hosts) {
-    forwarding_hosts_ = std::move(hosts);
+  /// Sets access to the other hosts. To be called before the first request.
+  void SetForwardingPeers(forwarding_peers peers) {
+    forwarder_.SetPeers(std::move(peers));
   }
   /// Continues a request that waits for a connection, when one to the endpoint
   /// may be idle.
@@ -85,14 +85,14 @@
   /// be served.
   std::optional<routed_request> Route(http_request request,
                                       const http_responder& responder);
+  /// Routes and runs a request that is not passed on.
+  void RunHere(http_request request, const http_responder& responder);
   /// Runs a request on this host's own connections.
   void Run(routed_request routed, const http_responder& responder);
   /// Whether another host can do what this one cannot: it does not reach the
   /// endpoints, or not those of all services that the request needs.
   bool NeedsOtherHost(time_point now, const route& matched) const;
-  /// Passes a request on if there is a host to take it; returns whether.
-  bool ForwardIfPossible(routed_request& routed,
-                         const http_responder& responder);
+  void Forward(routed_request routed, const http_responder& responder);
   /// The services of all shards, or one service drawn at random by weight.
   std::vector<service_id> SelectServices(const route& r);
   /// Answers a request that was not routed.
@@ -139,7 +139,6 @@
   telemetry& telemetry_;
   std::mt19937_64 random_;
   request_forwarder forwarder_;
-  std::function<std::vector<host_record>()> forwarding_hosts_;
   std::function<void(const endpoint_id&)> on_endpoint_leaving_;
   std::shared_ptr<const route_table> route_table_;
   duration loop_delay_{};
--- a/src/trefoilmill_entry/trouble_reports.cc
+++ b/src/trefoilmill_entry/trouble_reports.cc
@@ -21,6 +21,8 @@
 /// How long a host counts as cut off from the endpoints without saying so
 /// again.
 constexpr duration kCutOffBelief = std::chrono::milliseconds(1500);
+/// The same if another host said so, which is heard of only on occasion.
+constexpr duration kHearsayBelief = std::chrono::milliseconds(3000);
 
 }  // namespace
 
@@ -89,6 +91,12 @@
   fleet_.SetCutOff(from, reach.is_cut_off, loop_.Now() + kCutOffBelief);
 }
 
+void trouble_reports::OnCutOff(const std::vector<host_id>& hosts) {
+  for (const host_id& host : hosts) {
+    fleet_.HearCutOff(host, loop_.Now() + kHearsayBelief);
+  }
+}
+
 void trouble_reports::SendReach() {
   const bool is_cut_off = shared_state_.selector.reach().is_cut_off();
   fleet_.SetCutOff(fleet_.self().id, is_cut_off, loop_.Now() + kCutOffBelief);
--- a/src/trefoilmill_entry/trouble_reports.h
+++ b/src/trefoilmill_entry/trouble_reports.h
@@ -45,6 +45,8 @@
   void OnReports(const host_id& from, const endpoint_troubles& troubles);
   void OnLimits(const host_id& from, const endpoint_limits_message& limits);
   void OnReach(const host_id& from, const endpoint_reach_message& reach);
+  /// Another host named hosts that are cut off from the endpoints.
+  void OnCutOff(const std::vector<host_id>& hosts);
 
  private:
   /// A departure, and in how many more reports it is repeated.
