Limits are reported again only where hosts lack a share

At 2,400 hosts each would have told the 133 of its zone every 2 s of each limit it met, 21 KB a second with six limits, although every host has a share and hears from the endpoints themselves.

--- a/src/include/trefoilmill/process/request_limits.h
+++ b/src/include/trefoilmill/process/request_limits.h
@@ -68,7 +68,8 @@
   /// The limit in force; unset if the endpoint states none.
   std::optional<request_rate> LimitOf(const endpoint_id& id) const;
   /// What this host itself heard and has to tell the others now: changes, a few
-  /// times, and limits in force, at intervals; at most `most` reports, the rest
+  /// times, and limits in force of which not all hosts have a share, at
+  /// intervals; at most `most` reports, the rest
   /// next time. `started_ms` of the reports is not set.
   std::vector<endpoint_limit_report> TakeReports(time_point now,
                                                  std::size_t most);
@@ -100,7 +101,9 @@
   /// Whether this host is among the `count` senders with the highest rendezvous
   /// weight for the endpoint.
   bool IsSelected(const endpoint_id& id, std::size_t count) const;
-  static bool IsReportDue(time_point now, const limit_state& state);
+  bool IsReportDue(time_point now, const limit_state& state) const;
+  /// Number of hosts that may send to an endpoint with this limit.
+  std::size_t SharersOf(request_rate limit) const;
   /// Tokens at `now`; those of earlier are capped by the present share.
   double TokensAt(time_point now,
                   const endpoint_id& id,
--- a/src/libtrefoilmill/process/request_limits.cc
+++ b/src/libtrefoilmill/process/request_limits.cc
@@ -24,6 +24,11 @@
 constexpr int kChangeReports = 3;
 constexpr duration kReportInterval = std::chrono::seconds(2);
 
+/// Requests that all hosts together may send at once.
+double BurstOf(request_rate limit) {
+  return std::max(limit, kMinLimit).Over(kBurstTime) + kBurstRequests;
+}
+
 }  // namespace
 
 void request_limits::SetSenders(const host_id& self,
@@ -122,13 +127,17 @@
   return found == states_.end() ? std::nullopt : found->second.limit;
 }
 
-bool request_limits::IsReportDue(time_point now, const limit_state& state) {
+bool request_limits::IsReportDue(time_point now,
+                                 const limit_state& state) const {
   if (state.told_at != state.stated_at) {
     // A peer's statement is newer.
     return false;
   }
-  return state.reports_left > 0 || (state.limit.has_value() &&
-                                    now - state.reported_at >= kReportInterval);
+  if (state.reports_left > 0) {
+    return true;
+  }
+  return state.limit.has_value() && SharersOf(*state.limit) < senders_.size() &&
+         now - state.reported_at >= kReportInterval;
 }
 
 std::vector<endpoint_limit_report> request_limits::TakeReports(
@@ -151,17 +160,20 @@
   return reports;
 }
 
+std::size_t request_limits::SharersOf(request_rate limit) const {
+  return std::clamp<std::size_t>(senders_.size(), 1,
+                                 static_cast<std::size_t>(BurstOf(limit)));
+}
+
 request_limits::share request_limits::ShareOf(const endpoint_id& id,
                                               request_rate limit) const {
-  const request_rate shared = std::max(limit, kMinLimit);
-  const double burst = shared.Over(kBurstTime) + kBurstRequests;
-  const std::size_t senders = std::clamp<std::size_t>(
-      senders_.size(), 1, static_cast<std::size_t>(burst));
-  if (!IsSelected(id, senders)) {
+  const std::size_t sharers = SharersOf(limit);
+  if (!IsSelected(id, sharers)) {
     return {};
   }
-  const auto parts = static_cast<double>(senders);
-  return {.rate = shared.per_second() / parts, .burst = burst / parts};
+  const auto parts = static_cast<double>(sharers);
+  return {.rate = std::max(limit, kMinLimit).per_second() / parts,
+          .burst = BurstOf(limit) / parts};
 }
 
 bool request_limits::IsSelected(const endpoint_id& id,
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -77,7 +77,7 @@
   /// Updates the entry hosts and this host's shares if hosts have changed. A
   /// large fleet reports changes in bursts, which are applied together.
   void ApplyHostChanges();
-  /// Chooses the hosts named to callers.
+  /// Updates the hosts among which shares are divided.
   void UpdateEntryHosts();
   /// Counts the hosts that share the limits with this one.
   void CountHosts();
@@ -107,7 +107,8 @@
   telemetry telemetry_;
   shared_request_state shared_state_;
   std::shared_ptr<const route_table> route_table_;
-  /// The hosts named to callers when this host's shares were last computed.
+  /// The hosts named to callers, and those that are not because they do not
+  /// reach the endpoints, when this host's shares were last computed.
   std::vector<host_record> entry_hosts_;
   sending_hosts sending_hosts_;
   zones_out zones_out_;
--- a/src/trefoilmill_entry/trouble_reports.h
+++ b/src/trefoilmill_entry/trouble_reports.h
@@ -43,7 +43,9 @@
   void ReportDeparture(const endpoint_departure& departure);
   /// Applies the reports of another host.
   void OnReports(const host_id& from, const endpoint_troubles& troubles);
+  /// Applies what another host heard of request limits.
   void OnLimits(const host_id& from, const endpoint_limits_message& limits);
+  /// Another host says whether it reaches the endpoints.
   void OnReach(const host_id& from, const endpoint_reach_message& reach);
   /// Another host named hosts that are cut off from the endpoints.
   void OnCutOff(const std::vector<host_id>& hosts);
