Soak: a pause holds for the instance that asked for it

The check grouped requests by the endpoint's name. The soak's endpoints answer health checks, which hosts send while they are cut off.

--- a/scripts/lib/soak_checks.py
+++ b/scripts/lib/soak_checks.py
@@ -269,12 +269,13 @@
 
 
 def pauses_are_heeded(record):
-    """A host that an endpoint asks for a pause grants it."""
+    """A host that an endpoint asks for a pause grants it. What starts in its
+    place asks for none."""
     verdict = Verdict("pauses are heeded")
     arrivals = collections.defaultdict(list)
     for arrival in record.arrivals:
-        arrivals[arrival["host_ip"], arrival["endpoint"]].append(arrival)
-    for (host, endpoint), from_host in arrivals.items():
+        arrivals[arrival["host_ip"], arrival["instance"]].append(arrival)
+    for (host, instance), from_host in arrivals.items():
         heeded_until = 0.0
         for asked in sorted(from_host, key=lambda a: a["ended"]):
             begin = asked["ended"] + PAUSE_HEARD_S
@@ -286,7 +287,7 @@
             heeded_until = end
             count = sum(begin <= a["arrived"] < end for a in from_host)
             verdict.test(count > REQUESTS_IN_PAUSE and
-                         f"{endpoint} got {count} requests of {host} in a pause "
+                         f"{instance} got {count} requests of {host} in a pause "
                          f"of {asked['pause_s']} s from {asked['ended']:.3f}")
     return verdict
 
--- a/scripts/lib/soak_endpoints.py
+++ b/scripts/lib/soak_endpoints.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+HEALTH_PATH = "/health"
 NOT_EXECUTED = {"Trefoilmill-Not-Executed": "1"}
 
 
@@ -84,6 +85,8 @@
 
     def _handler(self, endpoint):
         async def handle(request):
+            if request.path == HEALTH_PATH:
+                return web.Response()
             arrival = {"endpoint": endpoint.name,
                        "instance": request.headers.get(
                            "Trefoilmill-Expect-Instance", endpoint.instance),
