--- a/src/libtmnet/http_responder_impl.h
+++ b/src/libtmnet/http_responder_impl.h
@@ -46,6 +46,8 @@
   /// Set once the server has begun to close the connection; requests that
   /// evhttp still reads from it are not handled.
   bool closed_by_server = false;
+  /// Set once evhttp has refused a request; it then closes the connection.
+  bool refused = false;
   /// Set while the server itself writes to the output buffer; all other output
   /// comes from evhttp.
   bool writing_response = false;
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -103,8 +103,9 @@
       .id = ++last_id,
       .bev = bev,
       .evcon = evcon,
-      .max_unparsed_bytes = kUnparsedReserveBytes + options.max_header_bytes +
-                            options.max_body_bytes,
+      .max_unparsed_bytes = kUnparsedReserveBytes +
+                            kEvhttpLimitFactor * (options.max_header_bytes +
+                                                  options.max_body_bytes),
       .accepted_at = loop.Now()});
   evbuffer_add_cb(bufferevent_get_output(bev), &impl::OnOutputChanged,
                   connection.get());
@@ -159,6 +160,7 @@
   if (header_end == std::string::npos) {
     return;
   }
+  connection->refused = true;
   const std::string error_body =
       MakeErrorResponse(0, verdict::kNotRun, reason_code::kBadRequest).body;
   const std::string error_response =
@@ -180,8 +182,11 @@
   }
   auto* connection = static_cast<server_connection*>(self);
   connection->request_begun = true;
-  if (evbuffer_get_length(input) > connection->max_unparsed_bytes &&
-      !connection->closed_by_server) {
+  // The rest of a request that is too large comes in while its refusal is
+  // written.
+  const bool is_ending = connection->refused || connection->closed_by_server;
+  if (!is_ending &&
+      evbuffer_get_length(input) > connection->max_unparsed_bytes) {
     // The event loop then detects the end of the connection and frees it.
     connection->closed_by_server = true;
     shutdown(bufferevent_getfd(connection->bev), SHUT_RDWR);
