An endpoint's answer cannot pass for a declined request

Found in the review: a host that was cut off declined a forwarded request by a header, and an endpoint's own answer, which is relayed with its headers, could carry the same. The sender then passed on a request that had run, also one that must not run twice. A decline has status 421 now, with which no endpoint's answer is relayed.

--- a/src/trefoilmill_entry/request_forwarder.cc
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -16,7 +16,9 @@
 /// such hosts, comma-separated, and how many at most.
 constexpr char kCutOffHeader[] = "Trefoilmill-Cut-Off";
 constexpr std::size_t kMaxNamedHosts = 128;
-constexpr int kHttpServiceUnavailable = 503;
+/// The status of such an answer. An endpoint's answer with this status is never
+/// passed on, so that none can be taken for it.
+constexpr int kHttpMisdirectedRequest = 421;
 /// Hosts that a request is offered to, one after another.
 constexpr std::size_t kMaxHosts = 4;
 /// Time reserved for the way to the other host and back, which has to answer
@@ -57,7 +59,7 @@
   for (const host_id& host : cut_off | std::views::take(kMaxNamedHosts)) {
     names += names.empty() ? host.value() : "," + host.value();
   }
-  return {.status = kHttpServiceUnavailable,
+  return {.status = kHttpMisdirectedRequest,
           .headers = {{kCutOffHeader, std::move(names)}}};
 }
 
@@ -178,7 +180,7 @@
 bool request_forwarder::LearnCutOff(const host_id& peer,
                                     const http_response& response) {
   const auto names = response.Header(kCutOffHeader);
-  if (!names.has_value()) {
+  if (response.status != kHttpMisdirectedRequest || !names.has_value()) {
     return false;
   }
   std::vector<host_id> cut_off = {peer};
--- a/src/trefoilmill_entry/request_forwarder_test.cc
+++ b/src/trefoilmill_entry/request_forwarder_test.cc
@@ -123,6 +123,22 @@
   BOOST_TEST(forwarder.unanswered() == 0U);
 }
 
+// An endpoint's own answer may have any headers.
+BOOST_AUTO_TEST_CASE(does_not_take_an_answer_for_a_declined_request) {
+  int ran = 0;
+  for (const std::string name : {"b", "c"}) {
+    AddHost(name, [&](const http_request&, const http_responder& responder) {
+      ++ran;
+      http_response answer = MakeCutOffResponse({});
+      answer.status = 503;
+      responder.Send(answer);
+    });
+  }
+  BOOST_TEST(Ask().response->status == 503);
+  BOOST_TEST(ran == 1);
+  BOOST_TEST(run_here == 0);
+}
+
 BOOST_AUTO_TEST_CASE(does_not_send_again_what_may_have_run) {
   int ran = 0;
   const auto lose = [&](const http_request&, const http_responder& responder) {
