--- a/src/trefoilmill_entry/request_forwarder.cc
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -125,6 +125,8 @@
   if (!peer.has_value() || left <= kPeerRoundTrip) {
     const auto ended = TakeOut(active_.find(n));
     telemetry_.meter->Increment(metric::kForwardedRequests, {"not_taken"});
+    ended->request.request = platform::MakeForwardedRequest(
+        ended->request.request, std::max(left, duration::zero()));
     on_not_taken_(std::move(ended->request));
     return;
   }
--- a/src/trefoilmill_entry/request_forwarder_test.cc
+++ b/src/trefoilmill_entry/request_forwarder_test.cc
@@ -23,9 +23,11 @@
   std::vector<host_record> hosts;
   std::vector<host_id> cut_off;
   int run_here = 0;
+  http_request last_run_here;
   request_forwarder forwarder{*loop, kTestIp, process, std::mt19937_64(1),
                               [this](const forwarded_request& not_taken) {
                                 ++run_here;
+                                last_run_here = not_taken.request;
                                 not_taken.responder.Send({.status = 503});
                               }};
   std::vector<std::unique_ptr<http_server>> servers;
@@ -123,6 +125,17 @@
   BOOST_TEST(forwarder.unanswered() == 0U);
 }
 
+// The time that other hosts took is not there any more.
+BOOST_AUTO_TEST_CASE(runs_a_request_here_with_the_time_that_is_left) {
+  AddHost("b", [](const http_request&, const http_responder& responder) {
+    responder.Send(MakeCutOffResponse({}));
+  });
+  Ask();
+  const auto left = last_run_here.Header("Trefoilmill-Deadline-Ms");
+  BOOST_REQUIRE(left.has_value());
+  BOOST_TEST(std::stoi(*left) <= 5000);
+}
+
 // An endpoint's own answer may have any headers.
 BOOST_AUTO_TEST_CASE(does_not_take_an_answer_for_a_declined_request) {
   int ran = 0;
