Slow endpoints are not taken for endpoints out of reach

Cause: late responses counted like lost ones. A host is cut off now if links are lost besides (connections reset, or connects of probes that go unanswered for 150 ms), or after 2 s without any response.

--- a/src/include/trefoilmill/process/endpoint_reach.h
+++ b/src/include/trefoilmill/process/endpoint_reach.h
@@ -3,8 +3,10 @@
 /// Links between a host and the endpoints can fail as a whole while callers,
 /// the store and the other hosts still reach it: connections hang or are reset,
 /// or go on while new ones are refused. A single endpoint that does not answer
-/// says nothing of this; several in a row, with no response from any in
-/// between and over more than one turn of the event loop, do.
+/// says nothing of this; several in a row, with no response from any in between
+/// and over more than one turn of the event loop, may. Late responses alone may
+/// mean that all endpoints have become slow: requests or connections have to be
+/// lost, too, or the silence has to last.
 #ifndef TREFOILMILL_PROCESS_ENDPOINT_REACH_H_
 #define TREFOILMILL_PROCESS_ENDPOINT_REACH_H_
 
@@ -27,11 +29,14 @@
   /// @{
   /// A response arrived, whatever it says.
   void OnResponse(time_point now, const endpoint_id& id);
-  /// No response: a request is late or lost.
-  void OnNoResponse(time_point now, const endpoint_id& id);
+  /// No response yet to a request that should have one.
+  void OnLate(time_point now, const endpoint_id& id);
+  /// The link is broken: a connection with a request on it was closed, or one
+  /// that was being opened went unanswered.
+  void OnLost(time_point now, const endpoint_id& id);
   /// A connection was opened, or could not be. That no new one can be opened
   /// says nothing of those that are open.
-  void OnConnected(const endpoint_id& id) { unconnected_.erase(id); }
+  void OnConnected(const endpoint_id& id);
   void OnConnectFailed(time_point now,
                        const endpoint_id& id,
                        bool has_connection);
@@ -53,6 +58,8 @@
   std::size_t unanswered() const { return unanswered_.size(); }
 
  private:
+  /// Whether the silence shows that this host is cut off.
+  bool IsSilenceConclusive(time_point now) const;
   /// `wanted` endpoints, or all if there are fewer.
   std::size_t AtMostKnown(std::size_t wanted) const;
 
@@ -62,6 +69,8 @@
   /// when there are any.
   std::set<endpoint_id> unanswered_;
   std::optional<time_point> unanswered_since_;
+  /// Those of them whose links are broken, unless any was found to work since.
+  std::set<endpoint_id> lost_;
   /// While cut off: endpoints that have responded.
   std::set<endpoint_id> answered_;
   /// Endpoints to which the latest attempt to connect failed.
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -103,6 +103,8 @@
   /// A connection attempt failed. The endpoint gets no requests for a backoff
   /// time, which doubles with each further failure.
   void OnConnectFailed(time_point now, const endpoint_id& id);
+  /// A connection that was to show whether the endpoint is reached was refused.
+  void OnProbeRefused(time_point now, const endpoint_id& id);
   /// A connection was established; ends the backoff.
   void OnConnected(const endpoint_id& id);
   /// The endpoint refused a request and wants none for `pause`. The time is
--- a/src/libtrefoilmill/process/endpoint_reach_test.cc
+++ b/src/libtrefoilmill/process/endpoint_reach_test.cc
@@ -21,7 +21,7 @@
   fixture() { reach.SetKnownEndpoints(30); }
   void CutOff() {
     for (int number = 0; number < 5; ++number) {
-      reach.OnNoResponse(kStart + number * milliseconds(20), Endpoint(number));
+      reach.OnLost(kStart + number * milliseconds(20), Endpoint(number));
     }
   }
 };
@@ -33,15 +33,43 @@
 BOOST_AUTO_TEST_CASE(is_cut_off_when_no_endpoint_responds) {
   for (int number = 0; number < 5; ++number) {
     BOOST_TEST(!reach.is_cut_off());
-    reach.OnNoResponse(kStart + number * milliseconds(20), Endpoint(number));
+    reach.OnLost(kStart + number * milliseconds(20), Endpoint(number));
   }
   BOOST_TEST(reach.is_cut_off());
 }
 
+BOOST_AUTO_TEST_CASE(is_not_cut_off_while_endpoints_are_slow) {
+  for (int number = 0; number < 20; ++number) {
+    reach.OnLate(kStart + number * milliseconds(50), Endpoint(number));
+    reach.Update(kStart + number * milliseconds(50));
+  }
+  BOOST_TEST(!reach.is_cut_off());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_cut_off_while_connections_can_be_opened) {
+  for (int number = 0; number < 10; ++number) {
+    reach.OnLost(kStart + number * milliseconds(50), Endpoint(0));
+    reach.OnConnected(Endpoint(number));
+    reach.OnLate(kStart + number * milliseconds(50), Endpoint(number));
+  }
+  BOOST_TEST(!reach.is_cut_off());
+}
+
+// Connections are accepted, and nothing comes back.
+BOOST_AUTO_TEST_CASE(is_cut_off_if_slowness_does_not_explain_the_silence) {
+  for (int number = 0; number < 5; ++number) {
+    reach.OnLate(kStart + number * milliseconds(20), Endpoint(number));
+  }
+  reach.Update(kStart + milliseconds(1900));
+  BOOST_TEST(!reach.is_cut_off());
+  reach.Update(kStart + milliseconds(2000));
+  BOOST_TEST(reach.is_cut_off());
+}
+
 // Timers that are due run before the responses that have arrived are read.
 BOOST_AUTO_TEST_CASE(is_not_cut_off_by_a_late_turn_of_the_loop) {
   for (int number = 0; number < 10; ++number) {
-    reach.OnNoResponse(kStart, Endpoint(number));
+    reach.OnLost(kStart, Endpoint(number));
   }
   BOOST_TEST(!reach.is_cut_off());
   reach.OnResponse(kStart, Endpoint(0));
@@ -51,7 +79,7 @@
 
 BOOST_AUTO_TEST_CASE(is_cut_off_once_the_silence_lasts) {
   for (int number = 0; number < 10; ++number) {
-    reach.OnNoResponse(kStart, Endpoint(number));
+    reach.OnLost(kStart, Endpoint(number));
   }
   reach.Update(kStart + milliseconds(100));
   BOOST_TEST(reach.is_cut_off());
@@ -80,8 +108,8 @@
 BOOST_AUTO_TEST_CASE(is_not_cut_off_while_any_endpoint_responds) {
   for (int round = 0; round < 100; ++round) {
     const time_point now = kStart + round * milliseconds(100);
-    reach.OnNoResponse(now, Endpoint(round % 15));
-    reach.OnNoResponse(now + milliseconds(50), Endpoint((round + 1) % 15));
+    reach.OnLost(now, Endpoint(round % 15));
+    reach.OnLost(now + milliseconds(50), Endpoint((round + 1) % 15));
     reach.OnResponse(now + milliseconds(60), Endpoint(15 + round % 15));
   }
   BOOST_TEST(!reach.is_cut_off());
@@ -89,11 +117,11 @@
 
 BOOST_AUTO_TEST_CASE(is_not_cut_off_by_a_single_endpoint) {
   for (int round = 0; round < 100; ++round) {
-    reach.OnNoResponse(kStart + round * milliseconds(10), Endpoint(1));
+    reach.OnLost(kStart + round * milliseconds(10), Endpoint(1));
   }
   BOOST_TEST(!reach.is_cut_off());
   reach.SetKnownEndpoints(1);
-  reach.OnNoResponse(kStart + seconds(2), Endpoint(1));
+  reach.OnLost(kStart + seconds(2), Endpoint(1));
   BOOST_TEST(reach.is_cut_off());
 }
 
@@ -103,7 +131,7 @@
   reach.OnResponse(kStart, Endpoint(1));
   reach.OnResponse(kStart, Endpoint(2));
   BOOST_TEST(reach.is_cut_off());
-  reach.OnNoResponse(kStart, Endpoint(2));
+  reach.OnLost(kStart, Endpoint(2));
   reach.OnResponse(kStart, Endpoint(3));
   BOOST_TEST(reach.is_cut_off());
   reach.OnResponse(kStart, Endpoint(4));
@@ -126,7 +154,7 @@
 // With few requests of its own it has to ask.
 BOOST_AUTO_TEST_CASE(probes_when_silence_lasts) {
   BOOST_TEST(!reach.ShouldProbe(kStart));
-  reach.OnNoResponse(kStart, Endpoint(1));
+  reach.OnLost(kStart, Endpoint(1));
   BOOST_TEST(!reach.ShouldProbe(kStart + milliseconds(100)));
   BOOST_TEST(reach.ShouldProbe(kStart + milliseconds(200)));
   reach.OnResponse(kStart + milliseconds(210), Endpoint(2));
@@ -137,10 +165,10 @@
 
 BOOST_AUTO_TEST_CASE(forgets_endpoints_that_were_removed) {
   for (int number = 0; number < 4; ++number) {
-    reach.OnNoResponse(kStart, Endpoint(number));
+    reach.OnLost(kStart, Endpoint(number));
   }
   reach.Forget(Endpoint(0));
-  reach.OnNoResponse(kStart + seconds(1), Endpoint(4));
+  reach.OnLost(kStart + seconds(1), Endpoint(4));
   BOOST_TEST(!reach.is_cut_off());
 }
 
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -112,6 +112,12 @@
   reach_.OnConnectFailed(now, id, HasConnection(stats));
 }
 
+void endpoint_selector::OnProbeRefused(time_point now, const endpoint_id& id) {
+  const auto found = stats_.find(id);
+  reach_.OnConnectFailed(now, id,
+                         found != stats_.end() && HasConnection(found->second));
+}
+
 void endpoint_selector::OnConnected(const endpoint_id& id) {
   endpoint_stats& stats = stats_[id];
   stats.backoff = duration::zero();
@@ -396,7 +402,7 @@
   const double latency_ratio = RelativeLatency(now - sent->second, expected);
   stats.slowdown.Update(now, SlowdownSample(latency_ratio), kSlowdownWeight,
                         kSlowdownHalfLife);
-  reach_.OnNoResponse(now, id);
+  reach_.OnLate(now, id);
 }
 
 void endpoint_selector::OnPeerReport(time_point now,
--- a/src/libtrefoilmill/request/endpoint_simulation_test.h
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -91,6 +91,8 @@
   /// When a host loses what it knows of limits, as in a restart.
   std::function<bool(std::size_t host, time_point now)> restarts =
       [](std::size_t, time_point) { return false; };
+  /// Called when a caller asks a host that takes itself for cut off.
+  std::function<void(time_point now)> on_cut_off = [](time_point) {};
   /// Called as things happen.
   std::function<void(const arrival&)> on_arrival = [](const arrival&) {};
   std::function<void(const answered_attempt&)> on_answer =
@@ -139,6 +141,8 @@
         hosts_.back()->shared.selector.SetIdleConnections(
             id, scenario_.connections_per_host);
       }
+      hosts_.back()->shared.selector.reach().SetKnownEndpoints(
+          endpoints_.size());
     }
     std::vector<host_id> names;
     names.reserve(hosts_.size());
@@ -347,6 +351,9 @@
            std::optional<reason_code> refused_before) {
     const std::size_t number = random_() % hosts_.size();
     host& asked = *hosts_[number];
+    if (asked.shared.selector.reach().is_cut_off()) {
+      scenario_.on_cut_off(now_);
+    }
     const std::uint64_t id = ++last_request_;
     const route* r = table_->Match("h", "/" + NameOf(kind) + "/1");
     active_request& active = asked.requests[id];
@@ -518,6 +525,7 @@
        [this, id, done, pause, limit, outcome = std::move(outcome)] {
          host& receiver = *hosts_[done.host];
          receiver.shared.selector.limits().OnResponse(now_, id, limit);
+         receiver.shared.selector.reach().OnResponse(now_, id);
          if (pause.has_value()) {
            receiver.shared.selector.OnPauseRequested(now_, id, *pause);
          }
--- a/src/trefoilmill_entry/reach_prober.cc
+++ b/src/trefoilmill_entry/reach_prober.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <iterator>
 #include <ranges>
 #include <utility>
 #include <vector>
@@ -11,10 +10,12 @@
 namespace {
 
 /// Limits for opening a probe's connection, and for its response.
-constexpr duration kConnectTimeout = std::chrono::milliseconds(400);
+constexpr duration kConnectTimeout = std::chrono::milliseconds(150);
 constexpr duration kResponseTimeout = std::chrono::milliseconds(500);
-/// Probes in progress at the same time.
-constexpr std::size_t kMaxProbes = 4;
+/// Probes in progress at the same time, and probes sent at a time: as many as
+/// it takes to tell a cut from slow endpoints.
+constexpr std::size_t kMaxProbes = 6;
+constexpr std::size_t kProbesAtOnce = 2;
 
 }  // namespace
 
@@ -41,11 +42,11 @@
       candidates.push_back(&entry.record);
     }
   }
-  if (candidates.empty()) {
-    return;
+  std::ranges::shuffle(candidates, random_);
+  candidates.resize(std::min(candidates.size(), kProbesAtOnce));
+  for (const endpoint_record* endpoint : candidates) {
+    Probe(*endpoint, table.SettingsOf(endpoint->service).health_path);
   }
-  const endpoint_record& endpoint = *candidates[random_() % candidates.size()];
-  Probe(endpoint, table.SettingsOf(endpoint.service).health_path);
 }
 
 void reach_prober::Probe(const endpoint_record& endpoint,
@@ -56,41 +57,52 @@
                                        {.connect_timeout = kConnectTimeout,
                                         .local_ip = local_ip_,
                                         .accept_close_delimited = true});
-  connection->Connect(
-      [this, number, id = endpoint.id, health_path](bool connected) {
-        OnConnected(number, id, health_path, connected);
-      });
+  connection->Connect([this, number, id = endpoint.id, health_path,
+                       began = loop_.Now()](bool connected) {
+    if (connected) {
+      OnConnected(number, id, health_path);
+    } else {
+      OnConnectFailed(number, id, began);
+    }
+  });
 }
 
 void reach_prober::OnConnected(probe_number number,
                                const endpoint_id& id,
-                               const std::string& health_path,
-                               bool connected) {
-  if (!connected) {
-    OnResult(number, id, /*responded=*/false);
-    return;
-  }
+                               const std::string& health_path) {
+  shared_state_.selector.reach().OnConnected(id);
   probes_.at(number)->Send(
       {.method = "GET", .path = health_path}, kResponseTimeout,
       [this, number, id](const http_result& exchange) {
-        OnResult(number, id, exchange.response.has_value());
+        endpoint_reach& reach = shared_state_.selector.reach();
+        if (exchange.response.has_value()) {
+          reach.OnResponse(loop_.Now(), id);
+        } else {
+          reach.OnLate(loop_.Now(), id);
+        }
+        End(number);
       });
 }
 
-void reach_prober::OnResult(probe_number number,
-                            const endpoint_id& id,
-                            bool responded) {
-  // This runs inside a callback of the connection, so a task posted to the loop
-  // destroys it.
+void reach_prober::OnConnectFailed(probe_number number,
+                                   const endpoint_id& id,
+                                   time_point began) {
+  const time_point now = loop_.Now();
+  if (now - began >= kConnectTimeout) {
+    shared_state_.selector.reach().OnLost(now, id);
+  } else {
+    // It was refused, which says nothing of connections that are open.
+    shared_state_.selector.OnProbeRefused(now, id);
+  }
+  End(number);
+}
+
+// This runs inside a callback of the connection, so a task posted to the loop
+// destroys it.
+void reach_prober::End(probe_number number) {
   std::shared_ptr<http_connection> ended = std::move(probes_.at(number));
   probes_.erase(number);
   loop_.Post([ended] {});
-  endpoint_reach& reach = shared_state_.selector.reach();
-  if (responded) {
-    reach.OnResponse(loop_.Now(), id);
-  } else {
-    reach.OnNoResponse(loop_.Now(), id);
-  }
 }
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/reach_prober.h
+++ b/src/trefoilmill_entry/reach_prober.h
@@ -28,7 +28,7 @@
                std::mt19937_64 random);
   ~reach_prober();
 
-  /// Sends a probe if one is due. To be called several times a second.
+  /// Sends probes if they are due. To be called several times a second.
   void Run(time_point now, const route_table& table);
 
  private:
@@ -37,9 +37,11 @@
   void Probe(const endpoint_record& endpoint, const std::string& health_path);
   void OnConnected(probe_number number,
                    const endpoint_id& id,
-                   const std::string& health_path,
-                   bool connected);
-  void OnResult(probe_number number, const endpoint_id& id, bool responded);
+                   const std::string& health_path);
+  void OnConnectFailed(probe_number number,
+                       const endpoint_id& id,
+                       time_point began);
+  void End(probe_number number);
 
   event_loop& loop_;
   std::string local_ip_;
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -283,10 +283,10 @@
   const endpoint_id endpoint = sent->second;
   active.attempts.erase(sent);
   if (exchange.response.has_value()) {
-    shared_state_.selector.reach().OnResponse(loop_.Now(), endpoint);
     ApplyNotice(active.id, endpoint, *exchange.response);
-  } else if (!active.caller_disconnected) {
-    shared_state_.selector.reach().OnNoResponse(loop_.Now(), endpoint);
+  }
+  if (exchange.response.has_value() || !active.caller_disconnected) {
+    RecordReach(endpoint, exchange);
   }
   attempt_outcome outcome =
       platform::ClassifyEndpointExchange(active.id, std::move(exchange));
@@ -312,6 +312,29 @@
   EraseIfFinished(number);
 }
 
+void request_handler::RecordReach(const endpoint_id& endpoint,
+                                  const http_result& exchange) {
+  endpoint_reach& reach = shared_state_.selector.reach();
+  const time_point now = loop_.Now();
+  if (exchange.response.has_value()) {
+    reach.OnResponse(now, endpoint);
+    return;
+  }
+  switch (*exchange.failure_reason) {
+    case http_failure::kMalformed:
+      // The endpoint did send something.
+      reach.OnResponse(now, endpoint);
+      return;
+    case http_failure::kConnectionLost:
+      reach.OnLost(now, endpoint);
+      return;
+    case http_failure::kNotConnected:
+    case http_failure::kTimeout:
+      reach.OnLate(now, endpoint);
+      return;
+  }
+}
+
 void request_handler::ApplyNotice(const request_id& request,
                                   const endpoint_id& endpoint,
                                   const http_response& reply) {
