--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -98,6 +98,9 @@
   resend_obstacle obstacle = resend_obstacle::kNone;
 };
 
+/// Time reserved before a caller's deadline to deliver the answer.
+inline constexpr duration kAnswerDeliveryMargin = std::chrono::milliseconds(12);
+
 /// State machine of one request. It performs no I/O and reads no clock: its
 /// user carries out the returned actions and reports their outcomes. The
 /// `shared` argument of its functions is the state that all requests of the
--- a/src/libtmnet/http_connection.cc
+++ b/src/libtmnet/http_connection.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "http_common.h"
+#include "http_exchange.h"
 #include "trefoilmill/net/http.h"
 
 namespace trefoilmill {
@@ -36,66 +37,6 @@
   kBusy,                  ///< A request is in progress.
 };
 
-http_failure ToFailure(evhttp_request_error error) {
-  switch (error) {
-    case EVREQ_HTTP_INVALID_HEADER:
-    case EVREQ_HTTP_DATA_TOO_LONG:
-      return http_failure::kMalformed;
-    case EVREQ_HTTP_TIMEOUT:
-      return http_failure::kTimeout;
-    case EVREQ_HTTP_EOF:
-    case EVREQ_HTTP_BUFFER_ERROR:
-    case EVREQ_HTTP_REQUEST_CANCEL:
-      break;
-  }
-  return http_failure::kConnectionLost;
-}
-
-// Whether the end of the body can be told from the headers or status. If only
-// the end of the connection delimits it, truncation cannot be detected.
-bool HasDelimitedBody(const http_response& response) {
-  return response.status == 204 || response.status == 304 ||
-         response.Header("Content-Length") ||
-         response.Header("Transfer-Encoding");
-}
-
-// Whether a connection can carry another request: the peer has neither closed
-// it, which the event loop may not have detected yet, nor sent unsolicited
-// bytes, which would be taken for the response to the next request.
-bool IsConnectedAndIdle(bufferevent* bev) {
-  if (evbuffer_get_length(bufferevent_get_input(bev)) > 0) {
-    return false;
-  }
-  return PeekSocket(bufferevent_getfd(bev)) == peek_result::kNothing;
-}
-
-// Sets the headers and body of `evreq`. If `request` has a target, its headers
-// are sent as they are; only Content-Length is added.
-void FillRequest(evhttp_request* evreq,
-                 const http_request& request,
-                 const socket_address& address) {
-  evkeyvalq* headers = evhttp_request_get_output_headers(evreq);
-  const bool send_unmodified = !request.target.empty();
-  if (!send_unmodified) {
-    const std::string host = address.ip + ":" + std::to_string(address.port);
-    evhttp_add_header(headers, "Host", host.c_str());
-  }
-  for (const auto& header : request.headers) {
-    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
-  }
-  if (request.body.empty()) {
-    return;
-  }
-  if (!send_unmodified &&
-      evhttp_find_header(headers, "Content-Type") == nullptr) {
-    evhttp_add_header(headers, "Content-Type", "application/json");
-  }
-  evhttp_add_header(headers, "Content-Length",
-                    std::to_string(request.body.size()).c_str());
-  evbuffer_add(evhttp_request_get_output_buffer(evreq), request.body.data(),
-               request.body.size());
-}
-
 }  // namespace
 
 // evhttp in libevent 2.1 connects only in order to send a request. Connect()
--- a/src/libtmnet/metrics_table.cc
+++ b/src/libtmnet/metrics_table.cc
@@ -284,7 +284,8 @@
        kCounter,
        "trefoilmill_forwarded_requests_total",
        "Callers' requests passed on to other hosts, by outcome: answered, "
-       "failed, not_taken (served here) or gone (the caller left).",
+       "failed, not_taken (served here) or gone (the caller left); declined: "
+       "passed on to this host, which is cut off, too.",
        {"outcome"},
        {}},
       {metric::kEndpointsKnown,
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -11,9 +11,6 @@
 namespace trefoilmill {
 namespace {
 
-/// Time reserved before the caller's deadline to deliver the answer.
-constexpr duration kAnswerDeliveryMargin = std::chrono::milliseconds(12);
-
 /// Classifies an outcome for the statistics of the endpoint.
 send_outcome ClassifyOutcome(const attempt_outcome& outcome) {
   struct visitor {
--- a/src/trefoilmill_entry/fleet_membership.cc
+++ b/src/trefoilmill_entry/fleet_membership.cc
@@ -9,7 +9,6 @@
 #include <variant>
 
 #include "trefoilmill/process/entry_hosts.h"
-#include "trefoilmill/wire/log_messages.h"
 #include "trefoilmill_entry/object_digests.h"
 
 namespace trefoilmill::entry {
@@ -120,52 +119,10 @@
   RunActions(membership_.Stop(loop_.Now()));
 }
 
-void fleet_membership::SetCutOff(const host_id& host,
-                                 bool is_cut_off,
-                                 time_point until) {
-  const bool was_cut_off = IsCutOff(host);
-  if (is_cut_off) {
-    cut_off_until_[host] = until;
-  } else {
-    cut_off_until_.erase(host);
-    said_cut_off_until_.erase(host);
-  }
-  if (is_cut_off == was_cut_off || host == self_.id) {
-    return;
-  }
-  telemetry_.log->Info(
-      is_cut_off ? log_message::kPeerCutOff : log_message::kPeerReaches,
-      {.peer = host});
-}
-
-void fleet_membership::HearCutOff(const host_id& host, time_point until) {
-  if (host != self_.id) {
-    said_cut_off_until_[host] = until;
-  }
-}
-
-bool fleet_membership::IsCutOff(const host_id& host) const {
-  const auto holds = [&](const std::map<host_id, time_point>& beliefs) {
-    const auto found = beliefs.find(host);
-    return found != beliefs.end() && loop_.Now() < found->second;
-  };
-  return holds(cut_off_until_) || holds(said_cut_off_until_);
-}
-
-std::vector<host_id> fleet_membership::CutOffHosts() const {
-  std::vector<host_id> hosts;
-  for (const auto& [host, until] : cut_off_until_) {
-    if (loop_.Now() < until) {
-      hosts.push_back(host);
-    }
-  }
-  return hosts;
-}
-
 std::vector<host_record> fleet_membership::EntryHosts() const {
   std::vector<host_record> hosts;
   for (const member& m : std::views::values(membership_.members())) {
-    if (IsServing(m) && !IsCutOff(m.host.id)) {
+    if (IsServing(m) && !cut_off_.Contains(loop_.Now(), m.host.id)) {
       hosts.push_back(m.host);
     }
   }
@@ -175,7 +132,7 @@
 
 std::vector<host_record> fleet_membership::ForwardingHosts() const {
   const auto is_unusable = [this](const host_record& host) {
-    return host.id == self_.id || IsCutOff(host.id);
+    return host.id == self_.id || cut_off_.Contains(loop_.Now(), host.id);
   };
   std::vector<host_record> hosts = EntryHosts();
   std::erase_if(hosts, is_unusable);
--- a/src/trefoilmill_entry/fleet_membership.h
+++ b/src/trefoilmill_entry/fleet_membership.h
@@ -13,6 +13,7 @@
 #include "trefoilmill/entry_settings.h"
 #include "trefoilmill/membership.h"
 #include "trefoilmill/net/event_loop.h"
+#include "trefoilmill/process/cut_off_hosts.h"
 #include "trefoilmill_entry/peer_datagrams.h"
 #include "trefoilmill_entry/telemetry.h"
 
@@ -65,16 +66,9 @@
   const std::map<host_id, member>& members() const {
     return membership_.members();
   }
-  /// A host, this one or another, says whether it reaches the endpoints; that
-  /// it does not is believed until `until` at the most.
-  void SetCutOff(const host_id& host, bool is_cut_off, time_point until);
-  /// Another host says that `host` does not.
-  void HearCutOff(const host_id& host, time_point until);
-  /// Whether the host does not reach the endpoints, as far as is known.
-  bool IsCutOff(const host_id& host) const;
-
-  /// The hosts that have said themselves that they do not reach the endpoints.
-  std::vector<host_id> CutOffHosts() const;
+  /// Which hosts do not reach the endpoints.
+  cut_off_hosts& cut_off() { return cut_off_; }
+  const cut_off_hosts& cut_off() const { return cut_off_; }
 
   /// The hosts named to callers, chosen from those that can serve and reach the
   /// endpoints or, if none does, from all that can serve.
@@ -109,11 +103,7 @@
   host_record self_;
   std::vector<socket_address> seeds_;
   membership membership_;
-  /// Hosts that are cut off from the endpoints, and how long that is believed:
-  /// by their own word, and by that of others, which is not passed on, as it
-  /// would go round and never end.
-  std::map<host_id, time_point> cut_off_until_;
-  std::map<host_id, time_point> said_cut_off_until_;
+  cut_off_hosts cut_off_;
   timer membership_timer_;
   timer hello_timer_;
 };
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -20,7 +20,7 @@
   if (!members.has_value()) {
     return members.error();
   }
-  std::unique_ptr<peer_gossip> created(new peer_gossip(store));
+  std::unique_ptr<peer_gossip> created(new peer_gossip(loop, store));
   auto datagrams = peer_datagrams::Bind(
       loop, settings.peers, process_telemetry,
       [gossip = created.get()](const host_id& from,
@@ -51,7 +51,8 @@
   return created;
 }
 
-peer_gossip::peer_gossip(const store_sync& store) : store_(store) {}
+peer_gossip::peer_gossip(const event_loop& loop, const store_sync& store)
+    : loop_(loop), store_(store) {}
 
 peer_gossip::~peer_gossip() = default;
 
@@ -104,12 +105,13 @@
 }
 
 forwarding_peers peer_gossip::ForwardingPeers() {
-  return {.hosts = [this] { return fleet_->ForwardingHosts(); },
-          .cut_off = [this] { return fleet_->CutOffHosts(); },
-          .on_cut_off =
-              [this](const std::vector<host_id>& hosts) {
-                troubles_->OnCutOff(hosts);
-              }};
+  return {
+      .hosts = [this] { return fleet_->ForwardingHosts(); },
+      .cut_off = [this] { return fleet_->cut_off().ByOwnWord(loop_.Now()); },
+      .on_cut_off =
+          [this](const std::vector<host_id>& hosts) {
+            troubles_->OnCutOff(hosts);
+          }};
 }
 
 http_server& peer_gossip::server() {
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -86,11 +86,12 @@
  private:
   struct dispatcher;
 
-  explicit peer_gossip(const store_sync& store);
+  peer_gossip(const event_loop& loop, const store_sync& store);
   /// Starts the timers of all parts and looks for other hosts.
   void Start();
   void OnMessage(const host_id& from, const peer_message& message);
 
+  const event_loop& loop_;
   const store_sync& store_;
   std::unique_ptr<peer_datagrams> datagrams_;
   std::unique_ptr<fleet_membership> fleet_;
--- a/src/trefoilmill_entry/request_handler_forward.cc
+++ b/src/trefoilmill_entry/request_handler_forward.cc
@@ -5,13 +5,6 @@
 #include "request_handler_impl.h"
 
 namespace trefoilmill::entry {
-namespace {
-
-/// Time reserved before the caller's deadline to deliver the answer.
-constexpr duration kAnswerDeliveryMargin = std::chrono::milliseconds(12);
-
-}  // namespace
-
 bool request_handler::NeedsOtherHost(time_point now,
                                      const route& matched) const {
   const endpoint_selector& selector = shared_state_.selector;
--- a/src/trefoilmill_entry/trouble_reports.cc
+++ b/src/trefoilmill_entry/trouble_reports.cc
@@ -18,11 +18,6 @@
 /// reported, as datagrams may be lost.
 constexpr int kDepartureReports = 3;
 constexpr int kReachReports = 3;
-/// How long a host counts as cut off from the endpoints without saying so
-/// again.
-constexpr duration kCutOffBelief = std::chrono::milliseconds(1500);
-/// The same if another host said so, which is heard of only on occasion.
-constexpr duration kHearsayBelief = std::chrono::milliseconds(3000);
 
 }  // namespace
 
@@ -88,18 +83,28 @@
 
 void trouble_reports::OnReach(const host_id& from,
                               const endpoint_reach_message& reach) {
-  fleet_.SetCutOff(from, reach.is_cut_off, loop_.Now() + kCutOffBelief);
+  if (fleet_.cut_off().OnOwnWord(loop_.Now(), from, reach.is_cut_off)) {
+    telemetry_.log->Info(
+        reach.is_cut_off ? log_message::kPeerCutOff : log_message::kPeerReaches,
+        {.peer = from, .detail = "its own word"});
+  }
 }
 
 void trouble_reports::OnCutOff(const std::vector<host_id>& hosts) {
   for (const host_id& host : hosts) {
-    fleet_.HearCutOff(host, loop_.Now() + kHearsayBelief);
+    const bool is_news = host != fleet_.self().id &&
+                         fleet_.cut_off().OnHearsay(loop_.Now(), host);
+    if (is_news) {
+      telemetry_.log->Info(
+          log_message::kPeerCutOff,
+          {.peer = host, .detail = "named when it or another host declined"});
+    }
   }
 }
 
 void trouble_reports::SendReach() {
   const bool is_cut_off = shared_state_.selector.reach().is_cut_off();
-  fleet_.SetCutOff(fleet_.self().id, is_cut_off, loop_.Now() + kCutOffBelief);
+  fleet_.cut_off().OnOwnWord(loop_.Now(), fleet_.self().id, is_cut_off);
   if (is_cut_off) {
     reach_reports_left_ = kReachReports;
   } else if (reach_reports_left_ == 0) {
