--- a/src/include/trefoilmill/process/extra_send_budget.h
+++ b/src/include/trefoilmill/process/extra_send_budget.h
@@ -17,6 +17,7 @@
 #define TREFOILMILL_PROCESS_EXTRA_SEND_BUDGET_H_
 
 #include <map>
+#include <vector>
 
 #include "trefoilmill/ids.h"
 #include "trefoilmill/process/sending_hosts.h"
@@ -51,6 +52,9 @@
   /// Takes one extra send out of the budget. Returns false, and takes nothing,
   /// if fewer than 1 + `reserve` sends are left.
   bool TrySpend(time_point now, const service_id& service, double reserve = 0);
+  /// Takes one extra send to each of `services` out of the budget. Returns
+  /// false, and takes nothing, if there is none left for any of them.
+  bool TrySpendEach(time_point now, const std::vector<service_id>& services);
   /// Maximum balance of one service, in sends.
   double max_balance() const;
 
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -183,6 +183,10 @@
   /// which is set.
   actions OnStop(time_point now, shared_request_state& shared);
 
+  /// Gives the request up, so that another host can run it from the beginning.
+  /// Possible if it may run twice, has no reply yet, and the budget allows an
+  /// extra send to each service; returns whether it is.
+  bool TryHandOver(time_point now, shared_request_state& shared);
   /// The caller disconnected: nothing more is sent or answered.
   void OnCallerDisconnected() { finished_ = true; }
 
--- a/src/libtrefoilmill/process/extra_send_budget.cc
+++ b/src/libtrefoilmill/process/extra_send_budget.cc
@@ -74,4 +74,19 @@
   return true;
 }
 
+bool extra_send_budget::TrySpendEach(time_point now,
+                                     const std::vector<service_id>& services) {
+  const bool enough =
+      std::ranges::all_of(services, [&](const service_id& service) {
+        return RefilledBucket(now, service).tokens >= 1;
+      });
+  if (!enough) {
+    return false;
+  }
+  for (const service_id& service : services) {
+    TrySpend(now, service);
+  }
+  return true;
+}
+
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -272,6 +272,21 @@
   return out;
 }
 
+bool request_run::TryHandOver(time_point now, shared_request_state& shared) {
+  if (finished_ || counts_.answered > 0 ||
+      route_->retry != retry_rule::kIdempotent) {
+    return false;
+  }
+  std::vector<service_id> sent_to;
+  for (const shard& s : shards_) {
+    if (!s.tried_endpoints.empty()) {
+      sent_to.push_back(s.service);
+    }
+  }
+  finished_ = shared.extra_sends.TrySpendEach(now, sent_to);
+  return finished_;
+}
+
 std::vector<shard_trouble> request_run::Troubles(std::size_t limit) const {
   std::vector<const shard*> troubled;
   for (const shard& s : shards_) {
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -299,6 +299,9 @@
     return;
   }
   was_cut_off_ = reach.is_cut_off();
+  if (was_cut_off_) {
+    requests_->HandOverUnanswered();
+  }
   telemetry_.meter->Set(metric::kCutOff, was_cut_off_ ? 1 : 0);
   telemetry_.log->Warning(
       was_cut_off_ ? log_message::kCutOff : log_message::kEndpointsReached,
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -93,7 +93,7 @@
   void OnReadinessRequest(const http_request& request,
                           const http_responder& responder);
   void RunHousekeeping();
-  /// Probes endpoints if necessary, and logs a change of whether this host
+  /// Probes endpoints if necessary, and acts on a change of whether this host
   /// reaches them.
   void UpdateReach(time_point now);
   void ReloadSettings();
--- a/src/trefoilmill_entry/request_forwarder.cc
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -123,6 +123,10 @@
   const duration left = active.request.answer_by - loop_.Now();
   const std::optional<host_record> peer = NextHost(active.tried);
   if (!peer.has_value() || left <= kPeerRoundTrip) {
+    if (active.request.so_far != verdict::kNotRun) {
+      Fail(n, reason_code::kNoReplica);
+      return;
+    }
     const auto ended = TakeOut(active_.find(n));
     telemetry_.meter->Increment(metric::kForwardedRequests, {"not_taken"});
     ended->request.request = platform::MakeForwardedRequest(
@@ -135,6 +139,7 @@
       log_message::kRequestForwarded,
       {.request = active.request.id,
        .peer = peer->id,
+       .outcome = active.request.so_far,
        .inputs = {{"tried", static_cast<std::int64_t>(active.tried.size())}}});
   http_request sent = platform::MakeForwardedRequest(active.request.request,
                                                      left - kPeerRoundTrip);
@@ -156,6 +161,12 @@
     SendToNext(n);
     return;
   }
+  if (exchange.response.has_value() &&
+      found->second.request.so_far != verdict::kNotRun &&
+      platform::StatesNotRun(*exchange.response)) {
+    Fail(n, reason_code::kNoReplica);
+    return;
+  }
   if (exchange.response.has_value()) {
     const auto ended = TakeOut(found);
     telemetry_.meter->Increment(metric::kForwardedRequests, {"answered"});
--- a/src/trefoilmill_entry/request_forwarder.h
+++ b/src/trefoilmill_entry/request_forwarder.h
@@ -30,6 +30,9 @@
   http_responder responder;
   /// When the caller has to have its answer.
   time_point answer_by;
+  /// Whether this host has sent it to endpoints before. Then no answer may say
+  /// that it did not run.
+  verdict so_far = verdict::kNotRun;
 };
 
 /// Marks the request as forwarded, for the other host.
--- a/src/trefoilmill_entry/request_forwarder_test.cc
+++ b/src/trefoilmill_entry/request_forwarder_test.cc
@@ -23,6 +23,7 @@
   std::vector<host_record> hosts;
   std::vector<host_id> cut_off;
   int run_here = 0;
+  verdict so_far = verdict::kNotRun;
   http_request last_run_here;
   request_forwarder forwarder{*loop, kTestIp, process, std::mt19937_64(1),
                               [this](const forwarded_request& not_taken) {
@@ -36,7 +37,8 @@
         forwarder.Forward({.id = request_id("r-1"),
                            .request = std::move(request),
                            .responder = responder,
-                           .answer_by = loop->Now() + seconds(5)});
+                           .answer_by = loop->Now() + seconds(5),
+                           .so_far = so_far});
       });
 
   fixture() {
@@ -152,6 +154,16 @@
   BOOST_TEST(run_here == 0);
 }
 
+BOOST_AUTO_TEST_CASE(does_not_call_not_run_what_may_have_run_before) {
+  so_far = verdict::kMayHaveRun;
+  BOOST_TEST(Ask().response->status == 502);
+  AddHost("b", [](const http_request&, const http_responder& responder) {
+    responder.Send({.status = 503});
+  });
+  BOOST_TEST(Ask().response->status == 502);
+  BOOST_TEST(run_here == 0);
+}
+
 BOOST_AUTO_TEST_CASE(does_not_send_again_what_may_have_run) {
   int ran = 0;
   const auto lose = [&](const http_request&, const http_responder& responder) {
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -90,7 +90,7 @@
     return;
   }
   if (NeedsOtherHost(loop_.Now(), *routed->matched)) {
-    Forward(std::move(*routed), responder);
+    Forward(std::move(*routed), responder, verdict::kNotRun);
     return;
   }
   Run(std::move(*routed), responder);
@@ -159,7 +159,8 @@
       .responder = responder,
       .run = request_run(route_table_, matched, SelectServices(matched), now,
                          routed.deadline),
-      .arrived = now});
+      .arrived = now,
+      .deadline = routed.deadline});
   active_request& active = *created;
   active_requests_.emplace(number, std::move(created));
   ++unanswered_;
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -47,6 +47,9 @@
   /// Handles a caller's request that another host passed on: it is not passed
   /// on again.
   void HandleForwarded(http_request request, const http_responder& responder);
+  /// This host was found to be cut off from the endpoints: passes on the
+  /// requests in progress that may run twice and have no reply yet.
+  void HandOverUnanswered();
   /// Sets access to the other hosts. To be called before the first request.
   void SetForwardingPeers(forwarding_peers peers) {
     forwarder_.SetPeers(std::move(peers));
@@ -92,7 +95,10 @@
   /// Whether another host can do what this one cannot: it does not reach the
   /// endpoints, or not those of all services that the request needs.
   bool NeedsOtherHost(time_point now, const route& matched) const;
-  void Forward(routed_request routed, const http_responder& responder);
+  /// Passes a request on, of which `so_far` says whether it may have run here.
+  void Forward(routed_request routed,
+               const http_responder& responder,
+               verdict so_far);
   /// The services of all shards, or one service drawn at random by weight.
   std::vector<service_id> SelectServices(const route& r);
   /// Answers a request that was not routed.
@@ -113,6 +119,7 @@
   void RunAction(request_number number,
                  active_request& active,
                  const request_run::wake& action);
+  void HandOver(request_number number, active_request& active);
   void OnAttemptEnd(request_number number,
                     attempt_id attempt,
                     http_result exchange);
--- a/src/trefoilmill_entry/request_handler_forward.cc
+++ b/src/trefoilmill_entry/request_handler_forward.cc
@@ -1,6 +1,9 @@
 /// When request_handler passes a request on to another host.
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <utility>
+#include <vector>
 
 #include "request_handler_impl.h"
 
@@ -19,8 +22,40 @@
   });
 }
 
+void request_handler::HandOverUnanswered() {
+  if (forwarder_.peers().hosts().empty()) {
+    return;
+  }
+  std::vector<request_number> numbers;
+  std::ranges::copy(std::views::keys(active_requests_),
+                    std::back_inserter(numbers));
+  for (const request_number number : numbers) {
+    HandOver(number, *active_requests_.at(number));
+  }
+}
+
+void request_handler::HandOver(request_number number, active_request& active) {
+  const std::size_t sends = active.run.counts().sends;
+  if (active.answered || !active.run.TryHandOver(loop_.Now(), shared_state_)) {
+    return;
+  }
+  active.answered = true;
+  --unanswered_;
+  active.wake_timer = timer();
+  shared_state_.waiting.Remove(number);
+  Forward({.id = active.id,
+           .original = std::move(active.original),
+           .matched = &active.run.matched(),
+           .deadline = active.deadline},
+          active.responder,
+          sends > 0 ? verdict::kMayHaveRun : verdict::kNotRun);
+  AbortAttempts(number);
+  EraseIfFinished(number);
+}
+
 void request_handler::Forward(routed_request routed,
-                              const http_responder& responder) {
+                              const http_responder& responder,
+                              verdict so_far) {
   const time_point timeout = loop_.Now() + routed.matched->timeout;
   time_point answer_by =
       std::min(routed.deadline - kAnswerDeliveryMargin, timeout);
@@ -30,7 +65,8 @@
   forwarder_.Forward({.id = routed.id,
                       .request = std::move(routed.original),
                       .responder = responder,
-                      .answer_by = answer_by});
+                      .answer_by = answer_by,
+                      .so_far = so_far});
 }
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/request_handler_impl.h
+++ b/src/trefoilmill_entry/request_handler_impl.h
@@ -21,6 +21,8 @@
   http_responder responder;
   request_run run;
   time_point arrived;
+  /// When the caller gives up.
+  time_point deadline;
   timer wake_timer;
   timer abort_timer;
   std::map<attempt_id, endpoint_id> attempts;
