A probe's connection that goes unanswered counts as lost

The timer of the connect limit may run a little before the limit has passed by the loop's clock, so that probes whose connects hung were taken for refused. A failure within half of the limit is a refusal.

--- a/src/trefoilmill_entry/reach_prober.cc
+++ b/src/trefoilmill_entry/reach_prober.cc
@@ -12,6 +12,8 @@
 /// Limits for opening a probe's connection, and for its response.
 constexpr duration kConnectTimeout = std::chrono::milliseconds(150);
 constexpr duration kResponseTimeout = std::chrono::milliseconds(500);
+/// A connection that fails sooner was refused; later, nothing came back.
+constexpr duration kMaxRefusalTime = kConnectTimeout / 2;
 /// Probes in progress at the same time, and probes sent at a time: as many as
 /// it takes to tell a cut from slow endpoints.
 constexpr std::size_t kMaxProbes = 6;
@@ -88,7 +90,7 @@
                                    const endpoint_id& id,
                                    time_point began) {
   const time_point now = loop_.Now();
-  if (now - began >= kConnectTimeout) {
+  if (now - began > kMaxRefusalTime) {
     shared_state_.selector.reach().OnLost(now, id);
   } else {
     // It was refused, which says nothing of connections that are open.
