--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -4,12 +4,14 @@
 
 import contextlib
 import http.client
+import itertools
 import json
 import os
 import pathlib
 import signal
 import subprocess
 import tempfile
+import threading
 import time
 
 import platform_standin as platform
@@ -53,8 +55,11 @@
             "backend": "shard-0", "max_attempts": 2}
     services = [{"name": name, "health_path": "/health", "max_conns": 20,
                  "warmup_s": 3.0, "warmup_per_s": 0.0} for name in SHARDS]
-    return {"version": version, "routes": [gather, book] + (extra or []),
-            "backends": services,
+    routes = [gather, book, *(extra or [])]
+    used = {name for r in routes for name in r.get("fanout", [r.get("backend")])}
+    services += [services[0] | {"name": name}
+                 for name in sorted(used - set(SHARDS))]
+    return {"version": version, "routes": routes, "backends": services,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 10000,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 
@@ -126,11 +131,13 @@
 class Fleet:
     """The platform's stand-in with two endpoints a shard, and entry hosts."""
 
-    def __init__(self, network, hosts):
+    def __init__(self, network, hosts, routes=()):
         self.network = network
         self.store = platform.Store()
         platform.serve_store(f"{network}.0.1", STORE_PORT, self.store)
         self.endpoints = {}
+        # When each endpoint crashed, by its name.
+        self.crashes = {}
         self.links = platform.Links()
         for index, service in enumerate(SHARDS):
             for replica in range(2):
@@ -140,17 +147,48 @@
                 platform.serve_endpoint(f"{network}.2.1", port,
                                         self.endpoints[name], self.links)
                 self.register(name, service, port)
-        self.store.put("config", "main", configuration(7))
+        self.store.put("config", "main", configuration(7, extra=routes))
         self.hosts = [self.start_host(number + 1) for number in range(hosts)]
 
+    def serve_crashing(self, service, number, is_fatal, delay_s, down_s):
+        """Adds an endpoint that crashes under the requests for whose path
+        `is_fatal` is true, and is back after `down_s` with a new id."""
+        port = 9500 + number
+        lives = itertools.count()
+        lock = threading.Lock()
+
+        def start():
+            name = f"{service}-{number}-life-{next(lives)}"
+            endpoint = platform.Endpoint(name, record(1), delay_s)
+            endpoint.is_fatal = is_fatal
+            server = platform.serve_endpoint(f"{self.network}.2.1", port,
+                                             endpoint)
+            endpoint.on_fatal = lambda: crash(name, server)
+            self.endpoints[name] = endpoint
+            self.register(name, service, port, born=time.time_ns() // 1000000)
+
+        def crash(name, server):
+            with lock:
+                if name in self.crashes:
+                    return
+                self.crashes[name] = time.monotonic()
+            server.crash()
+            time.sleep(down_s)
+            self.store.delete("servers", name)
+            start()
+
+        start()
+
     def start_host(self, number):
         return Host(self.network, number)
 
-    def register(self, name, service, port, state="ready", zone="perth"):
+    def register(self, name, service, port, state="ready", zone="perth",
+                 born=1):
         self.store.put("servers", name, {
             "backend": service, "address": f"{self.network}.2.1:{port}",
             "zone": zone, "version": "v1", "max_concurrency": 4,
-            "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1})
+            "state": state, "warmup_left_ms": 0, "sequence": 1,
+            "born": born})
 
     def wait_until_ready(self):
         eventually("all are ready", lambda: all(h.ready() for h in self.hosts))
@@ -168,8 +206,9 @@
 
 
 @contextlib.contextmanager
-def running(network, hosts):
-    fleet = Fleet(network, hosts)
+def running(network, hosts, routes=()):
+    """`routes` are added to the configuration."""
+    fleet = Fleet(network, hosts, routes)
     try:
         yield fleet
     finally:
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -3,6 +3,8 @@
 
 import http.server
 import json
+import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -109,7 +111,14 @@
         self.limit = None
         # Time of arrival of each request, refused ones too.
         self.arrivals = []
+        # Each request that it began to run; with the time, too.
         self.runs = []
+        self.run_times = []
+        # Called with the path of each request that it begins to run; whether
+        # the request ends the endpoint.
+        self.is_fatal = lambda path: False
+        # Called when such a request has run for `delay_s`.
+        self.on_fatal = lambda: None
 
 
 class Links:
@@ -151,7 +160,7 @@
             self.end_headers()
             self.wfile.write(body)
 
-        do_GET = do_POST = do_PUT = _serve
+        do_GET = do_POST = do_PUT = do_DELETE = _serve
 
         def log_message(self, *_):
             pass
@@ -164,6 +173,24 @@
         daemon_threads = True
         request_queue_size = 64
 
+        def process_request(self, request, client_address):
+            self.connections.append(request)
+            super().process_request(request, client_address)
+
+        def crash(self):
+            """Ends as a process does that crashes: all connections are reset,
+            and new ones refused."""
+            self.shutdown()
+            self.server_close()
+            for connection in self.connections:
+                try:
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                          struct.pack("ii", 1, 0))
+                    connection.shutdown(socket.SHUT_RDWR)
+                    connection.close()
+                except OSError:
+                    """It was closed before."""
+
         def verify_request(self, request, client_address):
             return links is None or links.accepts(client_address[0])
 
@@ -171,6 +198,7 @@
             """Peers that reset a connection are part of the tests."""
 
     server = Server((ip, port), _handler(respond))
+    server.connections = []
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
@@ -191,6 +219,11 @@
                                  int(query["wait_ms"]) / 1000)
         elif request.command == "GET":
             result = store.list(kind)
+        elif request.command == "DELETE":
+            if not store.exists(kind, name):
+                return 404, era, b"{}"
+            store.delete(kind, name)
+            result = {}
         else:
             value = json.loads(body)
             name = name or value["meta"]["name"]
@@ -231,8 +264,14 @@
             if endpoint.retry_after_s is not None:
                 headers["Retry-After"] = str(endpoint.retry_after_s)
             return 503, headers, b""
-        endpoint.runs.append((identity, request.command, request.path, body))
+        run = (identity, request.command, request.path, body)
+        endpoint.runs.append(run)
+        endpoint.run_times.append((time.monotonic(), run))
+        fatal = endpoint.is_fatal(request.path)
         time.sleep(endpoint.delay_s)
+        if fatal:
+            endpoint.on_fatal()
+            return None
         if endpoint.fails:
             return None
         headers = {"Trefoilmill-Request-Id": identity,
