--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -3,6 +3,7 @@
 
 import http.server
 import json
+import os
 import socket
 import struct
 import threading
@@ -179,17 +180,19 @@
 
         def crash(self):
             """Ends as a process does that crashes: all connections are reset,
-            and new ones refused."""
-            self.shutdown()
-            self.server_close()
+            and new ones refused, at once."""
+            self.socket.shutdown(socket.SHUT_RDWR)
             for connection in self.connections:
                 try:
                     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                           struct.pack("ii", 1, 0))
-                    connection.shutdown(socket.SHUT_RDWR)
-                    connection.close()
+                    # Wakes its thread, which holds the socket open.
+                    connection.shutdown(socket.SHUT_RD)
+                    os.close(connection.detach())
                 except OSError:
                     """It was closed before."""
+            self.shutdown()
+            self.server_close()
 
         def verify_request(self, request, client_address):
             return links is None or links.accepts(client_address[0])
--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -14,6 +14,7 @@
 #include "trefoilmill/ids.h"
 #include "trefoilmill/process/endpoint_selector.h"
 #include "trefoilmill/process/request_limits.h"
+#include "trefoilmill/process/request_quarantine.h"
 #include "trefoilmill/time.h"
 #include "trefoilmill/verdict.h"
 
@@ -219,6 +220,19 @@
   bool is_cut_off = false;
 };
 
+/// What the sender knows of requests under which endpoints have ended.
+struct quarantine_reports_message {
+  std::vector<quarantine_report> reports;
+};
+
+/// Says which records of such requests the sender has. A receiver with others
+/// replies with its reports.
+struct quarantine_digest_message {
+  std::uint64_t digest = 0;
+  /// It replies to such a message, and asks for the receiver's reports.
+  bool is_reply = false;
+};
+
 using peer_message = std::variant<hello_message,
                                   ping_message,
                                   ack_message,
@@ -233,7 +247,9 @@
                                   store_feed,
                                   endpoint_troubles,
                                   endpoint_limits_message,
-                                  endpoint_reach_message>;
+                                  endpoint_reach_message,
+                                  quarantine_reports_message,
+                                  quarantine_digest_message>;
 
 }  // namespace trefoilmill
 
--- a/src/include/trefoilmill/net/metrics.h
+++ b/src/include/trefoilmill/net/metrics.h
@@ -56,6 +56,7 @@
   kEndpointsKnown,
   kCutOff,
   kForwardedRequests,
+  kQuarantinedRequests,
   kConfigurationVersion,
   kLogLinesDropped,
 };
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "trefoilmill/ids.h"
+#include "trefoilmill/process/endpoint_crashes.h"
 #include "trefoilmill/process/endpoint_reach.h"
 #include "trefoilmill/process/endpoint_registry.h"
 #include "trefoilmill/process/request_limits.h"
@@ -97,6 +98,8 @@
   /// Whether this host reaches the endpoints.
   endpoint_reach& reach() { return reach_; }
   const endpoint_reach& reach() const { return reach_; }
+  /// Which endpoints have ended with requests in flight.
+  endpoint_crashes& crashes() { return crashes_; }
   /// Sets the number of idle connections to an endpoint. An endpoint is usable
   /// only after this was called for it.
   void SetIdleConnections(const endpoint_id& id, int idle_connections);
@@ -106,7 +109,7 @@
   /// A connection that was to show whether the endpoint is reached was refused.
   void OnProbeRefused(time_point now, const endpoint_id& id);
   /// A connection was established; ends the backoff.
-  void OnConnected(const endpoint_id& id);
+  void OnConnected(time_point now, const endpoint_id& id);
   /// The endpoint refused a request and wants none for `pause`. The time is
   /// prolonged at random, so that hosts do not all return at once.
   void OnPauseRequested(time_point now, const endpoint_id& id, duration pause);
@@ -260,6 +263,7 @@
   std::unordered_map<endpoint_id, endpoint_stats> stats_;
   request_limits limits_;
   endpoint_reach reach_;
+  endpoint_crashes crashes_;
 };
 
 }  // namespace trefoilmill
--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -14,6 +14,7 @@
 #include "trefoilmill/process/endpoint_selector.h"
 #include "trefoilmill/process/extra_send_budget.h"
 #include "trefoilmill/process/latency_histogram.h"
+#include "trefoilmill/process/request_quarantine.h"
 #include "trefoilmill/version/routing_config.h"
 
 namespace trefoilmill {
@@ -35,6 +36,8 @@
   /// Set while the process stops: when every request has its answer at the
   /// latest.
   std::optional<time_point> answer_by;
+  /// Requests under which endpoints have ended.
+  request_quarantine quarantine{};
   /// The most recently assigned attempt id.
   std::uint64_t last_attempt_id = 0;
 };
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -19,6 +19,7 @@
 #include "trefoilmill/http_message.h"
 #include "trefoilmill/ids.h"
 #include "trefoilmill/process/shared_request_state.h"
+#include "trefoilmill/request/request_identity.h"
 #include "trefoilmill/time.h"
 #include "trefoilmill/verdict.h"
 #include "trefoilmill/version/route_table.h"
@@ -84,10 +85,11 @@
   kNoReplica,     ///< No other endpoint was usable.
   kRequestLimit,  ///< Other endpoints stated request limits, which are used up.
   kAttemptLimit,  ///< As many endpoints were tried as the route allows.
+  kEndpointsEnded,  ///< Endpoints seem to end under the request.
 };
 
-/// Returns "none", "budget", "no_connection", "no_replica", "request_limit" or
-/// "attempt_limit".
+/// Returns "none", "budget", "no_connection", "no_replica", "request_limit",
+/// "attempt_limit" or "endpoints_ended".
 std::string_view ToString(resend_obstacle obstacle);
 
 /// A shard that an answer lacks or had to wait for.
@@ -158,12 +160,14 @@
   /// `table` is the configuration version used for the whole request; `r` is
   /// one of its routes. `services` are the shards of a gather target, or the
   /// one service selected from a relay target. `deadline` is the time at which
-  /// the caller stops waiting.
+  /// the caller stops waiting. Without an `identity` nothing is known of
+  /// earlier requests like it, and nothing is recorded of this one.
   request_run(std::shared_ptr<const route_table> table,
               const route& r,
               std::vector<service_id> services,
               time_point arrived,
-              time_point deadline);
+              time_point deadline,
+              std::optional<request_identity> identity = std::nullopt);
 
   /// Sends every shard's first attempt, or refuses the request if it cannot be
   /// answered in time or with enough shards.
@@ -205,6 +209,8 @@
     attempt_id id;
     endpoint_id endpoint;
     time_point sent;
+    /// It was sent alone, as the request may end endpoints.
+    bool cautious = false;
   };
   struct shard {
     service_id service;
@@ -214,6 +220,8 @@
     bool awaiting_capacity = false;
     bool failed = false;
     bool hedged = false;
+    /// It is sent, or sent again, once another shard has replied.
+    bool held = false;
     /// When callers may return to a failed shard without usable endpoints, if
     /// known.
     std::optional<time_point> callers_return_at;
@@ -261,11 +269,55 @@
               std::size_t index,
               const endpoint_id& endpoint,
               actions& out);
-  /// Retries a shard that has no attempt in flight, or fails it.
+  /// Retries a shard that has no attempt in flight, or fails it, or holds it
+  /// back.
   void RetryOrFail(time_point now,
                    shared_request_state& shared,
                    std::size_t index,
                    actions& out);
+  /// Retries a shard, or fails it.
+  void Retry(time_point now,
+             shared_request_state& shared,
+             std::size_t index,
+             actions& out);
+
+  /// @name Requests that may end endpoints
+  /// @{
+  /// What earlier requests like this one did to endpoints.
+  request_standing Standing(time_point now,
+                            const shared_request_state& shared) const;
+  /// Whether a shard waits for a free connection.
+  bool awaiting_capacity() const;
+  /// Whether only one endpoint at a time may get the request, as it may end
+  /// endpoints and none has replied.
+  bool IsCautious() const;
+  /// Whether no further endpoint may get it.
+  bool MustStop(time_point now, const shared_request_state& shared) const;
+  /// An endpoint has replied, so that the request is harmless.
+  void RecordReply(time_point now, shared_request_state& shared) const;
+  /// Records a lost reply, which may be due to the end of the endpoint.
+  void RecordLoss(time_point now,
+                  shared_request_state& shared,
+                  const attempt& lost,
+                  reason_code reason);
+  /// If the request has failed after connections broke, warns against requests
+  /// like it.
+  void RecordFailure(time_point now, shared_request_state& shared) const;
+  /// Holds a shard back, and goes on with one if nothing is in progress.
+  void Hold(time_point now,
+            shared_request_state& shared,
+            std::size_t index,
+            actions& out);
+  /// Sends held shards until one is in progress.
+  void SendNextHeld(time_point now, shared_request_state& shared, actions& out);
+  /// An endpoint has replied: sends all held shards.
+  void ReleaseHeld(time_point now, shared_request_state& shared, actions& out);
+  void SendHeld(time_point now,
+                shared_request_state& shared,
+                std::size_t index,
+                actions& out);
+  /// @}
+
   /// Hedges every shard whose hedge is due.
   void HedgeLateShards(time_point now,
                        shared_request_state& shared,
@@ -321,6 +373,13 @@
 
   std::shared_ptr<const route_table> table_;
   const route* route_;
+  std::optional<request_identity> identity_;
+  /// Endpoints have ended under earlier requests like this one.
+  bool suspect_ = false;
+  /// Attempts whose connection broke before a reply, and those of them that
+  /// were sent alone.
+  std::size_t broken_attempts_ = 0;
+  std::size_t broken_cautious_attempts_ = 0;
   std::vector<shard> shards_;
   time_point arrived_;
   /// When the answer must be sent in any case.
--- a/src/include/trefoilmill/verdict.h
+++ b/src/include/trefoilmill/verdict.h
@@ -51,6 +51,7 @@
   kStoreUnavailable,    ///< The platform's store did not answer.
   kNotReady,            ///< No configuration is in force yet.
   kShuttingDown,        ///< The host is stopping.
+  kQuarantined,         ///< Endpoints ended under earlier requests like it.
 };
 
 /// The wire name of a verdict: "not_run", "may_have_run", "ran".
--- a/src/include/trefoilmill/version/stored_object.h
+++ b/src/include/trefoilmill/version/stored_object.h
@@ -18,15 +18,16 @@
   kEndpoints,
   kZonesOut,  ///< Availability zones that operators took out of service.
   kHosts,     ///< Announcements of the hosts of this system.
+  kQuarantinedRequests,  ///< Requests that are sent to no endpoint any more.
 };
 
-/// All kinds, for iteration.
+/// The kinds of which hosts keep copies, for iteration.
 inline constexpr object_kind kObjectKinds[] = {
     object_kind::kConfiguration, object_kind::kEndpoints,
     object_kind::kZonesOut, object_kind::kHosts};
 
-/// Returns "configuration", "endpoints", "zones_out" or "hosts", for logs and
-/// digests.
+/// Returns "configuration", "endpoints", "zones_out", "hosts" or
+/// "quarantined_requests", for logs and digests.
 std::string_view ToString(object_kind kind);
 
 /// One object of the store.
--- a/src/include/trefoilmill/wire/log_messages.h
+++ b/src/include/trefoilmill/wire/log_messages.h
@@ -53,6 +53,14 @@
     "endpoint states no request limit any more";
 /// @}
 
+/// @name Requests under which endpoints end
+/// @{
+inline constexpr char kEndpointEnded[] =
+    "endpoint ended with a request in flight";
+inline constexpr char kRequestQuarantined[] = "request put in quarantine";
+inline constexpr char kQuarantineStored[] = "quarantine stored";
+/// @}
+
 }  // namespace trefoilmill::log_message
 
 #endif  // TREFOILMILL_WIRE_LOG_MESSAGES_H_
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -189,7 +189,7 @@
     return InRange(code, verdict::kRan, v);
   }
   static bool EnumFromCode(int code, reason_code& v) {
-    return InRange(code, reason_code::kShuttingDown, v);
+    return InRange(code, reason_code::kQuarantined, v);
   }
   static bool EnumFromCode(int code, member_state& v) {
     return InRange(code, member_state::kReleased, v);
@@ -266,6 +266,15 @@
     fields(r.reports);
   } else if constexpr (kIs<endpoint_reach_message, record>) {
     fields(r.is_cut_off);
+  } else if constexpr (kIs<quarantine_reports_message, record>) {
+    fields(r.reports);
+  } else if constexpr (kIs<quarantine_report, record>) {
+    fields(r.request, r.strikes, r.cleared_age, r.stored_in, r.suspect_for,
+           r.refused_for);
+  } else if constexpr (kIs<strike_report, record>) {
+    fields(r.source, r.age);
+  } else if constexpr (kIs<quarantine_digest_message, record>) {
+    fields(r.digest, r.is_reply);
   } else if constexpr (kIs<endpoint_limit_report, record>) {
     fields(r.endpoint, r.started_ms, r.per_thousand_seconds, r.age);
   } else if constexpr (kIs<store_feed, record>) {
--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -121,7 +121,13 @@
       store_feed{},
       endpoint_troubles{},
       endpoint_limits_message{},
-      endpoint_reach_message{.is_cut_off = true}};
+      endpoint_reach_message{.is_cut_off = true},
+      quarantine_reports_message{
+          .reports = {{.request = request_fingerprint(~std::uint64_t{0}),
+                       .strikes = {{.source = 1, .age = duration(5)}},
+                       .cleared_age = duration(7),
+                       .stored_in = store_era(2)}}},
+      quarantine_digest_message{.digest = 3, .is_reply = true}};
   BOOST_TEST(messages.size() == std::variant_size_v<peer_message>);
   for (const auto& message : messages) {
     const auto frame = DecodePeerFrame(EncodePeerFrame({.message = message}));
--- a/src/libtmwire/wire_corpus_test.cc
+++ b/src/libtmwire/wire_corpus_test.cc
@@ -9,6 +9,7 @@
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill/wire/entry_settings_codec.h"
 #include "trefoilmill/wire/peer_codec.h"
+#include "trefoilmill/wire/quarantine_codec.h"
 #include "trefoilmill/wire/settings_codec.h"
 
 namespace trefoilmill {
@@ -83,4 +84,18 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(quarantine_record_decoder) {
+  constexpr std::uint64_t kNowUs = 1'790'000'000'000'000;
+  ReplayCorpus("quarantine_record", [](const std::string& text) {
+    return Reencoded(
+        ReadQuarantineRecord(text, kNowUs),
+        [](const quarantine_report& report) {
+          return WriteQuarantineRecord(report, kNowUs);
+        },
+        [](const std::string& again) {
+          return ReadQuarantineRecord(again, kNowUs);
+        });
+  });
+}
+
 }  // namespace trefoilmill
--- /dev/null
+++ b/src/libtrefoilmill/process/endpoint_crashes_test.cc
@@ -0,0 +1,126 @@
+/// Tests which lost replies are put down to the end of an endpoint.
+#define BOOST_TEST_MODULE endpoint_crashes
+#include "trefoilmill/process/endpoint_crashes.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdint>
+
+namespace trefoilmill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point kStart(seconds(100));
+const endpoint_id kEnded("ended");
+const endpoint_id kOther("other");
+
+request_identity Request(std::uint64_t number) {
+  return {.content = request_fingerprint(number),
+          .content_and_caller = request_fingerprint(1000 + number)};
+}
+
+struct fixture {
+  endpoint_crashes crashes;
+
+  void Lose(std::uint64_t request,
+            time_point at = kStart,
+            bool abandoned = false) {
+    crashes.OnReplyLost({.endpoint = kEnded,
+                         .started_ms = 7,
+                         .request = Request(request),
+                         .abandoned = abandoned,
+                         .lost_at = at});
+  }
+  void Refuse(time_point at) { crashes.OnConnectRefused(at, kEnded); }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(an_endpoint, fixture)
+
+BOOST_AUTO_TEST_CASE(has_ended_if_it_refuses_while_another_is_reached) {
+  Lose(1);
+  Lose(2);
+  Refuse(kStart + milliseconds(2));
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(20)).empty());
+  crashes.OnAlive(kStart + milliseconds(20), kOther);
+  const auto confirmed = crashes.TakeConfirmed(kStart + milliseconds(20));
+  BOOST_TEST_REQUIRE(confirmed.size() == 2U);
+  BOOST_TEST((confirmed[0].request == Request(1)));
+  BOOST_TEST((confirmed[1].request == Request(2)));
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(30)).empty());
+  BOOST_TEST(crashes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(has_not_ended_if_it_accepts_a_connection) {
+  Lose(1);
+  crashes.OnAlive(kStart + milliseconds(2), kEnded);
+  Refuse(kStart + milliseconds(4));
+  crashes.OnAlive(kStart + milliseconds(30), kOther);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(30)).empty());
+}
+
+// All links of the host broke: every endpoint resets and refuses.
+BOOST_AUTO_TEST_CASE(is_not_blamed_for_the_link) {
+  Lose(1);
+  crashes.OnAlive(kStart + milliseconds(1), kOther);
+  Refuse(kStart + milliseconds(2));
+  // A response that was on its way when the link broke.
+  crashes.OnAlive(kStart + milliseconds(5), kOther);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(900)).empty());
+  // The link is back.
+  crashes.OnAlive(kStart + seconds(2), kOther);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + seconds(2)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(may_still_run_what_was_abandoned) {
+  Lose(1, kStart, /*abandoned=*/true);
+  crashes.OnAlive(kStart + milliseconds(100), kEnded);
+  Refuse(kStart + milliseconds(300));
+  crashes.OnAlive(kStart + milliseconds(320), kOther);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(320)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(did_not_end_under_what_it_lost_long_before) {
+  Lose(1, kStart, /*abandoned=*/true);
+  Refuse(kStart + seconds(3));
+  crashes.OnAlive(kStart + seconds(3) + milliseconds(50), kOther);
+  BOOST_TEST(
+      crashes.TakeConfirmed(kStart + seconds(3) + milliseconds(50)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(did_not_end_under_a_request_that_was_answered) {
+  Lose(1);
+  Lose(2);
+  Refuse(kStart + milliseconds(2));
+  crashes.Exonerate(Request(1));
+  crashes.OnAlive(kStart + milliseconds(20), kOther);
+  const auto confirmed = crashes.TakeConfirmed(kStart + milliseconds(20));
+  BOOST_TEST_REQUIRE(confirmed.size() == 1U);
+  BOOST_TEST((confirmed[0].request == Request(2)));
+}
+
+BOOST_AUTO_TEST_CASE(is_asked_once_if_nothing_is_heard_of_it) {
+  Lose(1);
+  BOOST_TEST(crashes.TakeUnchecked(kStart + milliseconds(5)).empty());
+  BOOST_TEST(crashes.TakeUnchecked(kStart + milliseconds(25)).size() == 1U);
+  BOOST_TEST(crashes.TakeUnchecked(kStart + milliseconds(35)).empty());
+  Refuse(kStart + milliseconds(30));
+  BOOST_TEST(!crashes.TakeNeedForSignOfLife(kStart + milliseconds(40)));
+  BOOST_TEST(crashes.TakeNeedForSignOfLife(kStart + milliseconds(90)));
+  BOOST_TEST(!crashes.TakeNeedForSignOfLife(kStart + milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_CASE(holds_a_limited_number_of_suspects) {
+  for (std::uint64_t request = 0; request < 10'000; ++request) {
+    Lose(request);
+  }
+  Refuse(kStart + milliseconds(2));
+  crashes.OnAlive(kStart + milliseconds(20), kOther);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(20)).size() <= 2048U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilmill
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -118,11 +118,12 @@
                          found != stats_.end() && HasConnection(found->second));
 }
 
-void endpoint_selector::OnConnected(const endpoint_id& id) {
+void endpoint_selector::OnConnected(time_point now, const endpoint_id& id) {
   endpoint_stats& stats = stats_[id];
   stats.backoff = duration::zero();
   stats.backoff_until = time_point();
   reach_.OnConnected(id);
+  crashes_.OnAlive(now, id);
 }
 
 void endpoint_selector::OnPauseRequested(time_point now,
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -58,6 +58,8 @@
       return "request_limit";
     case resend_obstacle::kAttemptLimit:
       return "attempt_limit";
+    case resend_obstacle::kEndpointsEnded:
+      return "endpoints_ended";
   }
   return "unknown";
 }
@@ -66,9 +68,11 @@
                          const route& r,
                          std::vector<service_id> services,
                          time_point arrived,
-                         time_point deadline)
+                         time_point deadline,
+                         std::optional<request_identity> identity)
     : table_(std::move(table)),
       route_(&r),
+      identity_(identity),
       arrived_(arrived),
       answer_deadline_(
           std::min(deadline - kAnswerDeliveryMargin, arrived + r.timeout)),
@@ -146,7 +150,8 @@
   shard& s = shards_[index];
   const attempt_id id(++shared.last_attempt_id);
   s.tried_endpoints.push_back(endpoint);
-  s.in_flight.push_back({.id = id, .endpoint = endpoint, .sent = now});
+  s.in_flight.push_back(
+      {.id = id, .endpoint = endpoint, .sent = now, .cautious = IsCautious()});
   s.awaiting_capacity = false;
   s.obstacle = resend_obstacle::kNone;
   ++counts_.sends;
@@ -172,18 +177,21 @@
   }
   shard& s = *matching_shard;
   const auto ended = std::ranges::find(s.in_flight, id, &attempt::id);
-  const endpoint_id endpoint = ended->endpoint;
-  const time_point sent = ended->sent;
+  const attempt done = std::move(*ended);
   s.in_flight.erase(ended);
   const send_outcome send_result = ClassifyOutcome(outcome);
-  shared.selector.OnSendFinished(now, endpoint, id,
+  shared.selector.OnSendFinished(now, done.endpoint, id,
                                  ExpectedLatency(shared, *route_), send_result);
   if (const auto* refused = std::get_if<endpoint_refused>(&outcome);
       refused != nullptr && refused->reason == reason_code::kWrongInstance) {
-    shared.registry.MarkAddressReused(now, endpoint);
+    shared.registry.MarkAddressReused(now, done.endpoint);
+  }
+  if (const auto* lost = std::get_if<reply_lost>(&outcome)) {
+    RecordLoss(now, shared, done, lost->reason);
   }
   if (send_result == send_outcome::kSucceeded) {
-    shared.latencies[route_->id].Record(now - sent);
+    shared.latencies[route_->id].Record(now - done.sent);
+    RecordReply(now, shared);
   }
   if (finished_ || !s.pending()) {
     return out;
@@ -191,6 +199,7 @@
   if (send_result == send_outcome::kSucceeded) {
     s.reply = std::move(std::get<endpoint_replied>(outcome));
     ++counts_.answered;
+    ReleaseHeld(now, shared, out);
     FinishIfDue(now, out);
   } else {
     counts_.last_failure = FailureReason(outcome);
@@ -206,6 +215,7 @@
                     std::distance(shards_.begin(), matching_shard)),
                 out);
     FinishIfDue(now, out);
+    RecordFailure(now, shared);
   }
   ScheduleWake(now, shared, out);
   return out;
@@ -222,8 +232,23 @@
                               shared_request_state& shared,
                               std::size_t index,
                               actions& out) {
+  if (!shards_[index].in_flight.empty()) {
+    return;
+  }
+  if (IsCautious()) {
+    Hold(now, shared, index, out);
+    return;
+  }
+  Retry(now, shared, index, out);
+}
+
+void request_run::Retry(time_point now,
+                        shared_request_state& shared,
+                        std::size_t index,
+                        actions& out) {
   shard& s = shards_[index];
-  if (!s.in_flight.empty()) {
+  if (MustStop(now, shared)) {
+    FailShard(now, shared, s, resend_obstacle::kEndpointsEnded);
     return;
   }
   if (!CanRetry(s) || answer_deadline_ - now < kMinTimeToSend) {
@@ -252,6 +277,9 @@
   if (is_first_send && !s.in_flight.empty()) {
     shared.extra_sends.OnFirstSend(now, s.service);
   }
+  if (IsCautious()) {
+    SendNextHeld(now, shared, out);
+  }
   FinishIfDue(now, out);
   ScheduleWake(now, shared, out);
   return out;
--- /dev/null
+++ b/src/libtrefoilmill/request/request_run_caution_test.cc
@@ -0,0 +1,162 @@
+/// Tests how requests are sent that may end the endpoints that run them.
+#define BOOST_TEST_MODULE request_run_caution
+#include <boost/test/unit_test.hpp>
+
+#include "request_run_fixture_test.h"
+#include "trefoilmill/request/request_run.h"
+
+namespace trefoilmill {
+namespace {
+
+using std::chrono::milliseconds;
+
+const request_identity kIdentity = {
+    .content = request_fingerprint(1),
+    .content_and_caller = request_fingerprint(2)};
+
+struct fixture : request_fixture {
+  void StartIdentified(const std::string& path) {
+    const route* r = table->Match("h", path);
+    run = std::make_unique<request_run>(table, *r, ServicesOf(*r), now,
+                                        now + kTimeout, kIdentity);
+    Apply(run->Start(now, shared));
+  }
+  void BecomeSuspect() {
+    shared.quarantine.OnEndpointEnded(now, {.endpoint = endpoint_id("gone"),
+                                            .started_ms = 1,
+                                            .request = kIdentity,
+                                            .abandoned = false,
+                                            .lost_at = now});
+    now += milliseconds(500);
+  }
+  void LoseReply(std::size_t index) {
+    const request_run::send lost = sends[index];
+    ReportOutcome(lost, reply_lost{reason_code::kConnectionReset});
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_suspect_goes_to_one_endpoint_first, fixture) {
+  BecomeSuspect();
+  StartIdentified("/sweep/1");
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  ReportReply(request_run::send(sends[0]));
+  // It is harmless, and clear from then on.
+  BOOST_TEST(sends.size() == 10U);
+  BOOST_TEST((shared.quarantine.StandingOf(now, kIdentity) ==
+              request_standing::kClear));
+  ReportReplies(1, 10);
+  BOOST_TEST_REQUIRE(AnswerAs<gathered_answer>() != nullptr);
+  BOOST_TEST(AnswerAs<gathered_answer>()->missing == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_suspect_is_not_hedged, fixture) {
+  BecomeSuspect();
+  StartIdentified("/read/1");
+  RunUntil(now + milliseconds(300));
+  BOOST_TEST(sends.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_suspect_ends_one_endpoint_at_most, fixture) {
+  for (const std::string path : {"/sweep/1", "/read/1"}) {
+    sends.clear();
+    answer.reset();
+    BecomeSuspect();
+    StartIdentified(path);
+    LoseReply(0);
+    BOOST_TEST(sends.size() == 1U);
+    BOOST_TEST(AnswerAs<failed_answer>() != nullptr);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_suspect_that_is_refused_goes_to_the_next, fixture) {
+  BecomeSuspect();
+  StartIdentified("/sweep/1");
+  ReportOutcome(request_run::send(sends[0]),
+                endpoint_refused{reason_code::kShed});
+  BOOST_TEST_REQUIRE(sends.size() == 2U);
+  ReportReply(request_run::send(sends[1]));
+  BOOST_TEST(sends.size() == 11U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_suspect_shard_without_endpoints_is_passed_over,
+                        fixture) {
+  BecomeSuspect();
+  DisableShard(0);
+  StartIdentified("/sweep/1");
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  BOOST_TEST(sends[0].shard == 1U);
+  ReportReply(request_run::send(sends[0]));
+  BOOST_TEST(sends.size() == 9U);
+}
+
+// A new request of this kind ends one endpoint of each shard, and three more.
+BOOST_FIXTURE_TEST_CASE(a_sweep_that_ends_all_endpoints_is_not_sent_again,
+                        fixture) {
+  StartIdentified("/sweep/1");
+  for (std::size_t index = 0; index < sends.size(); ++index) {
+    LoseReply(index);
+  }
+  BOOST_TEST(sends.size() == 13U);
+  BOOST_TEST(AnswerAs<failed_answer>() != nullptr);
+  // It is suspect at once, wherever it comes next.
+  BOOST_TEST((shared.quarantine.StandingOf(now, kIdentity) ==
+              request_standing::kSuspect));
+}
+
+// All endpoints that a sweep was sent to end together.
+BOOST_FIXTURE_TEST_CASE(a_bystander_without_any_reply_is_sent_again, fixture) {
+  StartIdentified("/sweep/1");
+  for (std::size_t index = 0; index < 11; ++index) {
+    LoseReply(index);
+  }
+  BOOST_TEST_REQUIRE(sends.size() == 12U);
+  ReportReply(request_run::send(sends[11]));
+  BOOST_TEST(sends.size() > 12U);
+  ReportReplies(12, sends.size());
+  BOOST_TEST(AnswerAs<gathered_answer>() != nullptr);
+}
+
+// Endpoints of some shards end together; those of others reply.
+BOOST_FIXTURE_TEST_CASE(a_bystander_is_sent_again_once_a_shard_has_replied,
+                        fixture) {
+  StartIdentified("/sweep/1");
+  for (std::size_t index = 0; index < 4; ++index) {
+    LoseReply(index);
+  }
+  BOOST_TEST(sends.size() == 11U);
+  ReportReply(request_run::send(sends[4]));
+  BOOST_TEST_REQUIRE(sends.size() == 14U);
+  ReportReplies(5, 14);
+  BOOST_TEST_REQUIRE(AnswerAs<gathered_answer>() != nullptr);
+  BOOST_TEST(AnswerAs<gathered_answer>()->missing == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_bystander_of_one_end_is_sent_again_at_once, fixture) {
+  StartIdentified("/read/1");
+  LoseReply(0);
+  BOOST_TEST_REQUIRE(sends.size() == 2U);
+  ReportReply(request_run::send(sends[1]));
+  BOOST_TEST(AnswerAs<relayed_answer>() != nullptr);
+  BOOST_TEST(shared.selector.crashes().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_put_in_quarantine_meanwhile_is_not_sent_again,
+                        fixture) {
+  StartIdentified("/read/1");
+  for (int strike = 0; strike < 3; ++strike) {
+    BecomeSuspect();
+    shared.quarantine.OnEndpointEnded(
+        now, {.endpoint = endpoint_id(std::to_string(strike)),
+              .started_ms = 1,
+              .request = kIdentity,
+              .abandoned = false,
+              .lost_at = now});
+  }
+  LoseReply(0);
+  BOOST_TEST(sends.size() == 1U);
+  BOOST_TEST(AnswerAs<failed_answer>() != nullptr);
+}
+
+}  // namespace trefoilmill
--- a/src/libtrefoilmill/request/request_run_hedge.cc
+++ b/src/libtrefoilmill/request/request_run_hedge.cc
@@ -49,7 +49,7 @@
 
 bool request_run::CanHedge(time_point now, const shard& s) const {
   return route_->retry == retry_rule::kIdempotent && s.pending() &&
-         !s.in_flight.empty() && CanRetry(s) &&
+         !s.in_flight.empty() && CanRetry(s) && !IsCautious() &&
          (!s.hedged || NeedsAllRemainingShards(now));
 }
 
--- a/src/libtrefoilmill/request/request_run_start.cc
+++ b/src/libtrefoilmill/request/request_run_start.cc
@@ -119,8 +119,13 @@
 request_run::actions request_run::SendAll(time_point now,
                                           shared_request_state& shared) {
   actions out;
+  suspect_ = Standing(now, shared) != request_standing::kClear;
   for (std::size_t index = 0; index < shards_.size(); ++index) {
-    Dispatch(now, shared, index, out);
+    if (suspect_ && (in_flight() || awaiting_capacity())) {
+      shards_[index].held = true;
+    } else {
+      Dispatch(now, shared, index, out);
+    }
   }
   planning_ = true;
   FinishIfDue(now, out);
--- a/src/libtrefoilmill/verdict.cc
+++ b/src/libtrefoilmill/verdict.cc
@@ -46,6 +46,7 @@
     named<reason_code>{reason_code::kStoreUnavailable, "store_unavailable"},
     named<reason_code>{reason_code::kNotReady, "not_ready"},
     named<reason_code>{reason_code::kShuttingDown, "shutting_down"},
+    named<reason_code>{reason_code::kQuarantined, "quarantined"},
 };
 
 template <class value, std::size_t count>
--- a/src/trefoilmill_entry/connection_pools.cc
+++ b/src/trefoilmill_entry/connection_pools.cc
@@ -11,6 +11,8 @@
 
 /// Limit for opening a connection, and the delay after a failed attempt.
 constexpr duration kConnectTimeout = std::chrono::milliseconds(400);
+/// A connection that fails sooner was refused; later, nothing came back.
+constexpr duration kMaxRefusalTime = kConnectTimeout / 2;
 /// An idle connection is closed this long before the endpoint would close it,
 /// so that no request is sent while the endpoint closes it.
 constexpr duration kIdleMargin = std::chrono::milliseconds(1500);
@@ -31,6 +33,7 @@
 struct connection_pools::connection {
   std::unique_ptr<http_connection> http;
   bool connecting = true;
+  time_point connect_began;
   bool busy = false;
   /// Whether a reply has arrived on it.
   bool has_replied = false;
@@ -117,6 +120,18 @@
   }
 }
 
+void connection_pools::CheckEndpoint(const endpoint_id& id) {
+  const auto found = pools_.find(id);
+  if (found == pools_.end()) {
+    return;
+  }
+  pool& p = *found->second;
+  if (!p.IsConnecting() &&
+      static_cast<int>(p.connections.size()) < p.connection_limit) {
+    Open(p);
+  }
+}
+
 void connection_pools::Retire(const endpoint_id& id) {
   const auto found = pools_.find(id);
   if (found == pools_.end() || found->second->retired) {
@@ -144,6 +159,7 @@
 void connection_pools::Open(pool& p) {
   auto created = std::make_unique<connection>();
   connection& c = *created;
+  c.connect_began = loop_.Now();
   c.http = http_connection::Create(loop_, p.address,
                                    {.connect_timeout = kConnectTimeout,
                                     .max_body_bytes = kMaxReplyBytes,
@@ -160,13 +176,16 @@
   if (!connected) {
     telemetry_.meter->Increment(metric::kConnectionFailures);
     placement_.OnConnectFailed(loop_.Now(), p.id);
+    if (loop_.Now() - c.connect_began < kMaxRefusalTime) {
+      placement_.crashes().OnConnectRefused(loop_.Now(), p.id);
+    }
     p.reopen_at = loop_.Now() + kConnectTimeout;
     Close(p, c);
     return;
   }
   c.idle_since = loop_.Now();
   c.http->OnClosed([this, &p, &c] { OnClosedByPeer(p, c); });
-  placement_.OnConnected(p.id);
+  placement_.OnConnected(loop_.Now(), p.id);
   ReportIdleCount(p);
   on_idle_(p.id);
 }
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -107,6 +107,14 @@
   process->prober_ = std::make_unique<reach_prober>(loop, settings.callers.ip,
                                                     process->shared_state_,
                                                     std::mt19937_64(random()));
+  process->crash_checker_ = std::make_unique<crash_checker>(
+      loop, process->shared_state_, *process->pools_, process->telemetry_,
+      [self] { self->peers_->ShareQuarantineNews(); },
+      std::mt19937_64(random()));
+  process->requests_->OnReplyLost([self] {
+    self->crash_checker_->OnReplyLost();
+    self->peers_->ShareQuarantineNews();
+  });
   process->requests_->OnEndpointLeaving(
       [self](const endpoint_id& id) { self->OnEndpointLeaving(id); });
   process->store_ = std::make_unique<store_sync>(
@@ -138,8 +146,10 @@
                 self->OnPeerDeparture(from, departure);
               },
           .on_forwarded =
-              [self](http_request request, const http_responder& responder) {
-                self->requests_->HandleForwarded(std::move(request), responder);
+              [self](http_request request, const http_responder& responder,
+                     const forwarded_mark& mark) {
+                self->requests_->HandleForwarded(std::move(request), responder,
+                                                 mark);
               }},
       std::mt19937_64(random()));
   if (!peers.has_value()) {
@@ -273,6 +283,7 @@
                             std::max(delay, duration::zero()));
   ApplyEndpointChanges(shared_state_.registry.RemoveExpired(now));
   ApplyZonesOut();
+  peers_->RunHousekeeping();
   pools_->MaintainConnections();
   UpdateReach(now);
   // A host that becomes ready does not change its membership state, so the
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -16,6 +16,7 @@
 #include "trefoilmill/version/route_table.h"
 #include "trefoilmill/version/zones_out.h"
 #include "trefoilmill_entry/connection_pools.h"
+#include "trefoilmill_entry/crash_checker.h"
 #include "trefoilmill_entry/peer_gossip.h"
 #include "trefoilmill_entry/planned_stop.h"
 #include "trefoilmill_entry/reach_prober.h"
@@ -124,6 +125,7 @@
   std::unique_ptr<connection_pools> pools_;
   std::unique_ptr<request_handler> requests_;
   std::unique_ptr<reach_prober> prober_;
+  std::unique_ptr<crash_checker> crash_checker_;
   std::unique_ptr<store_sync> store_;
   std::unique_ptr<peer_gossip> peers_;
   std::unique_ptr<http_server> caller_server_;
--- a/src/trefoilmill_entry/peer_copies.cc
+++ b/src/trefoilmill_entry/peer_copies.cc
@@ -6,7 +6,6 @@
 
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill_entry/object_digests.h"
-#include "trefoilmill_entry/request_forwarder.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -35,15 +34,15 @@
     store_sync& store,
     const fleet_membership& fleet,
     telemetry& process_telemetry,
-    http_server::request_handler on_forwarded) {
+    forwarded_callback on_forwarded) {
   std::unique_ptr<peer_copies> created(
       new peer_copies(loop, settings, store, fleet, process_telemetry));
   auto server = http_server::Listen(
       loop, settings.peers, {},
       [copies = created.get(), on_forwarded = std::move(on_forwarded)](
           http_request request, const http_responder& responder) {
-        if (TakeForwardedMark(request)) {
-          on_forwarded(std::move(request), responder);
+        if (const auto mark = TakeForwardedMark(request)) {
+          on_forwarded(std::move(request), responder, *mark);
         } else {
           copies->OnRequest(request, responder);
         }
--- a/src/trefoilmill_entry/peer_copies.h
+++ b/src/trefoilmill_entry/peer_copies.h
@@ -5,6 +5,7 @@
 #ifndef TREFOILMILL_ENTRY_PEER_COPIES_H_
 #define TREFOILMILL_ENTRY_PEER_COPIES_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
 #include "trefoilmill_entry/fleet_membership.h"
+#include "trefoilmill_entry/request_forwarder.h"
 #include "trefoilmill_entry/store_sync.h"
 #include "trefoilmill_entry/telemetry.h"
 
@@ -27,6 +29,10 @@
     socket_address source;
   };
 
+  /// Called with a request that another host passed on.
+  using forwarded_callback =
+      std::function<void(http_request, const http_responder&, forwarded_mark)>;
+
   /// Binds the TCP port of `settings.peers`; fails if that is not possible.
   /// `on_forwarded` gets callers' requests that other hosts pass on.
   static result<std::unique_ptr<peer_copies>> Listen(
@@ -35,7 +41,7 @@
       store_sync& store,
       const fleet_membership& fleet,
       telemetry& process_telemetry,
-      http_server::request_handler on_forwarded);
+      forwarded_callback on_forwarded);
 
   /// The server for other hosts' requests.
   http_server& server() { return *server_; }
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -47,6 +47,9 @@
   created->troubles_ = std::make_unique<trouble_reports>(
       loop, shared_state, *created->fleet_, *created->datagrams_,
       process_telemetry, std::move(on_event.on_departure));
+  created->quarantine_ = std::make_unique<quarantine_sync>(
+      loop, shared_state, *created->fleet_, *created->datagrams_, store,
+      process_telemetry, std::mt19937_64(random()));
   created->Start();
   return created;
 }
@@ -61,6 +64,7 @@
   feeds_->Start();
   troubles_->Start();
   copies_->Start();
+  quarantine_->Start();
 }
 
 void peer_gossip::SetListedHosts(std::vector<host_record> hosts) {
@@ -81,6 +85,14 @@
   troubles_->ReportDeparture(departure);
 }
 
+void peer_gossip::ShareQuarantineNews() {
+  quarantine_->SendNews();
+}
+
+void peer_gossip::RunHousekeeping() {
+  quarantine_->RunHousekeeping();
+}
+
 void peer_gossip::AnnounceLeaving() {
   fleet_->AnnounceLeaving();
 }
@@ -137,6 +149,12 @@
   void operator()(const endpoint_reach_message& reach) const {
     gossip.troubles_->OnReach(from, reach);
   }
+  void operator()(const quarantine_reports_message& reports) const {
+    gossip.quarantine_->OnReports(from, reports);
+  }
+  void operator()(const quarantine_digest_message& digest) const {
+    gossip.quarantine_->OnDigest(from, digest);
+  }
   void operator()(const store_feed& feed) const {
     gossip.feeds_->OnFeed(from, feed);
   }
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -5,7 +5,8 @@
 /// * fleet_membership: which hosts there are and what they have in force;
 /// * store_feeds: changes that hosts which watch the store forward;
 /// * peer_copies: objects of which a peer has a newer revision;
-/// * trouble_reports: endpoints that are slow, failing or leaving.
+/// * trouble_reports: endpoints that are slow, failing or leaving;
+/// * quarantine_sync: requests under which endpoints have ended.
 #ifndef TREFOILMILL_ENTRY_PEER_GOSSIP_H_
 #define TREFOILMILL_ENTRY_PEER_GOSSIP_H_
 
@@ -19,6 +20,7 @@
 #include "trefoilmill_entry/fleet_membership.h"
 #include "trefoilmill_entry/peer_copies.h"
 #include "trefoilmill_entry/peer_datagrams.h"
+#include "trefoilmill_entry/quarantine_sync.h"
 #include "trefoilmill_entry/request_forwarder.h"
 #include "trefoilmill_entry/store_feeds.h"
 #include "trefoilmill_entry/store_sync.h"
@@ -37,7 +39,7 @@
     /// A peer reported that an endpoint is leaving.
     trouble_reports::departure_callback on_departure;
     /// Another host passes a caller's request on to this one.
-    http_server::request_handler on_forwarded;
+    peer_copies::forwarded_callback on_forwarded;
   };
 
   /// Binds the UDP and the TCP port of `settings.peers`. Fails if membership
@@ -63,6 +65,10 @@
                            const object_changes& changes);
   /// Tells the other hosts that an endpoint is leaving.
   void ReportDeparture(const endpoint_departure& departure);
+  /// Tells other hosts under which requests endpoints were found to have ended.
+  void ShareQuarantineNews();
+  /// To be called several times a second.
+  void RunHousekeeping();
   /// Announces that this host takes no new work.
   void AnnounceLeaving();
   /// Announces that this host stops now.
@@ -98,6 +104,7 @@
   std::unique_ptr<peer_copies> copies_;
   std::unique_ptr<store_feeds> feeds_;
   std::unique_ptr<trouble_reports> troubles_;
+  std::unique_ptr<quarantine_sync> quarantine_;
 };
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/reach_prober.cc
+++ b/src/trefoilmill_entry/reach_prober.cc
@@ -73,6 +73,7 @@
                                const endpoint_id& id,
                                const std::string& health_path) {
   shared_state_.selector.reach().OnConnected(id);
+  shared_state_.selector.crashes().OnAlive(loop_.Now(), id);
   probes_.at(number)->Send(
       {.method = "GET", .path = health_path}, kResponseTimeout,
       [this, number, id](const http_result& exchange) {
--- a/src/trefoilmill_entry/request_forwarder.cc
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <string_view>
 #include <utility>
 
 #include "platform/http_conversion.h"
@@ -10,8 +11,10 @@
 namespace trefoilmill::entry {
 namespace {
 
-/// Marks requests between hosts.
+/// Marks requests between hosts. Its value is the request's identity: two
+/// fingerprints, separated by kIdentitySeparator.
 constexpr char kForwardedHeader[] = "Trefoilmill-Forwarded";
+constexpr char kIdentitySeparator = '-';
 /// In the answer of a host that is cut off from the endpoints, too: the ids of
 /// such hosts, comma-separated, and how many at most.
 constexpr char kCutOffHeader[] = "Trefoilmill-Cut-Off";
@@ -42,16 +45,40 @@
   return reason_code::kConnectionReset;
 }
 
+std::string FormatIdentity(const request_identity& identity) {
+  return ToString(identity.content) + kIdentitySeparator +
+         ToString(identity.content_and_caller);
+}
+
+std::optional<request_identity> ParseIdentity(std::string_view text) {
+  const auto separator = text.find(kIdentitySeparator);
+  if (separator == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto content = ParseFingerprint(text.substr(0, separator));
+  const auto with_caller = ParseFingerprint(text.substr(separator + 1));
+  if (!content.has_value() || !with_caller.has_value()) {
+    return std::nullopt;
+  }
+  return request_identity{.content = *content,
+                          .content_and_caller = *with_caller};
+}
+
 }  // namespace
 
-void MarkForwarded(http_request& request) {
-  request.headers.push_back({kForwardedHeader, "1"});
+void MarkForwarded(http_request& request, const request_identity& identity) {
+  request.headers.push_back({kForwardedHeader, FormatIdentity(identity)});
 }
 
-bool TakeForwardedMark(http_request& request) {
-  return std::erase_if(request.headers, [](const http_header& header) {
-           return SameHeaderName(header.name, kForwardedHeader);
-         }) > 0;
+std::optional<forwarded_mark> TakeForwardedMark(http_request& request) {
+  const auto value = request.Header(kForwardedHeader);
+  if (!value.has_value()) {
+    return std::nullopt;
+  }
+  std::erase_if(request.headers, [](const http_header& header) {
+    return SameHeaderName(header.name, kForwardedHeader);
+  });
+  return forwarded_mark{.identity = ParseIdentity(*value)};
 }
 
 http_response MakeCutOffResponse(const std::vector<host_id>& cut_off) {
@@ -143,7 +170,7 @@
        .inputs = {{"tried", static_cast<std::int64_t>(active.tried.size())}}});
   http_request sent = platform::MakeForwardedRequest(active.request.request,
                                                      left - kPeerRoundTrip);
-  MarkForwarded(sent);
+  MarkForwarded(sent, active.request.identity);
   active.sent = client_.Send(peer->peer, sent, left,
                              [this, n, id = peer->id](http_result exchange) {
                                OnResult(n, id, std::move(exchange));
--- a/src/trefoilmill_entry/request_forwarder.h
+++ b/src/trefoilmill_entry/request_forwarder.h
@@ -19,6 +19,7 @@
 #include "trefoilmill/ids.h"
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
+#include "trefoilmill/request/request_identity.h"
 #include "trefoilmill_entry/telemetry.h"
 
 namespace trefoilmill::entry {
@@ -26,6 +27,8 @@
 /// A caller's request that this host does not run itself.
 struct forwarded_request {
   request_id id;
+  /// As it arrived from the caller.
+  request_identity identity;
   http_request request;
   http_responder responder;
   /// When the caller has to have its answer.
@@ -35,10 +38,16 @@
   verdict so_far = verdict::kNotRun;
 };
 
-/// Marks the request as forwarded, for the other host.
-void MarkForwarded(http_request& request);
-/// Whether the request was forwarded; removes the mark.
-bool TakeForwardedMark(http_request& request);
+/// Marks the request as forwarded, for the other host, which cannot tell its
+/// caller.
+void MarkForwarded(http_request& request, const request_identity& identity);
+/// What the mark of a forwarded request says.
+struct forwarded_mark {
+  /// Unset if the sender did not state it.
+  std::optional<request_identity> identity;
+};
+/// The mark if the request was forwarded; removes it.
+std::optional<forwarded_mark> TakeForwardedMark(http_request& request);
 /// The answer of a host that does not reach the endpoints either to a forwarded
 /// request, which did not run. It names the hosts that it knows to be in the
 /// same situation.
--- a/src/trefoilmill_entry/request_forwarder_test.cc
+++ b/src/trefoilmill_entry/request_forwarder_test.cc
@@ -86,7 +86,8 @@
 BOOST_AUTO_TEST_CASE(passes_a_request_on_and_its_answer_back) {
   bool marked = false;
   AddHost("b", [&](http_request request, const http_responder& responder) {
-    marked = TakeForwardedMark(request) && !TakeForwardedMark(request);
+    marked = TakeForwardedMark(request).has_value() &&
+             !TakeForwardedMark(request).has_value();
     Answer(request, responder);
   });
   const http_result result = Ask();
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -44,7 +44,8 @@
                  process_telemetry,
                  std::mt19937_64(random_()),
                  [this](forwarded_request not_taken) {
-                   RunHere(std::move(not_taken.request), not_taken.responder);
+                   RunHere(std::move(not_taken.request), not_taken.responder,
+                           not_taken.identity);
                  }) {}
 
 request_handler::~request_handler() = default;
@@ -71,13 +72,15 @@
 void request_handler::Refuse(const http_responder& responder,
                              const request_id& id,
                              reason_code reason,
-                             duration retry_after) {
+                             duration retry_after,
+                             std::string detail) {
   telemetry_.meter->Increment(metric::kCallerRequests, {"refused"});
   telemetry_.meter->Increment(metric::kRefusals, {ToString(reason), "not_run"});
   telemetry_.log->Info(
       "request refused before routing",
       {.request = id,
        .reason = reason,
+       .detail = std::move(detail),
        .inputs = {{"loop_delay_us", loop_delay_.count()},
                   {"unanswered", static_cast<std::int64_t>(unanswered_)}}});
   responder.Send(platform::MakeRefusalResponse(reason, retry_after));
@@ -97,18 +100,20 @@
 }
 
 void request_handler::HandleForwarded(http_request request,
-                                      const http_responder& responder) {
+                                      const http_responder& responder,
+                                      const forwarded_mark& mark) {
   if (shared_state_.selector.reach().is_cut_off()) {
     telemetry_.meter->Increment(metric::kForwardedRequests, {"declined"});
     responder.Send(MakeCutOffResponse(forwarder_.peers().cut_off()));
     return;
   }
-  RunHere(std::move(request), responder);
+  RunHere(std::move(request), responder, mark.identity);
 }
 
 void request_handler::RunHere(http_request request,
-                              const http_responder& responder) {
-  auto routed = Route(std::move(request), responder);
+                              const http_responder& responder,
+                              std::optional<request_identity> identity) {
+  auto routed = Route(std::move(request), responder, identity);
   if (routed.has_value()) {
     Run(std::move(*routed), responder);
   }
@@ -116,7 +121,8 @@
 
 std::optional<request_handler::routed_request> request_handler::Route(
     http_request request,
-    const http_responder& responder) {
+    const http_responder& responder,
+    std::optional<request_identity> identity) {
   auto parsed = platform::ParseCallerRequest(request);
   if (!parsed.has_value()) {
     Refuse(responder, request_id(), reason_code::kBadRequest, {});
@@ -137,13 +143,34 @@
     Refuse(responder, caller.id, reason_code::kOverloaded, kOverloadRetryAfter);
     return std::nullopt;
   }
+  if (!identity.has_value()) {
+    identity = IdentifyRequest(request, caller.host);
+  }
+  if (RefuseQuarantined(caller.id, *identity, responder)) {
+    return std::nullopt;
+  }
   return routed_request{
       .id = caller.id,
+      .identity = *identity,
       .original = std::move(request),
       .matched = matched,
       .deadline = loop_.Now() + caller.time_left.value_or(matched->timeout)};
 }
 
+bool request_handler::RefuseQuarantined(const request_id& id,
+                                        const request_identity& identity,
+                                        const http_responder& responder) {
+  const time_point now = loop_.Now();
+  const request_quarantine& quarantine = shared_state_.quarantine;
+  if (quarantine.StandingOf(now, identity) != request_standing::kQuarantined) {
+    return false;
+  }
+  Refuse(responder, id, reason_code::kQuarantined,
+         quarantine.QuarantineLeft(now, identity),
+         ToString(identity.content_and_caller));
+  return true;
+}
+
 void request_handler::Run(routed_request routed,
                           const http_responder& responder) {
   const time_point now = loop_.Now();
@@ -155,10 +182,11 @@
   const request_number number(++last_number_);
   auto created = std::make_unique<active_request>(active_request{
       .id = routed.id,
+      .identity = routed.identity,
       .original = std::move(routed.original),
       .responder = responder,
       .run = request_run(route_table_, matched, SelectServices(matched), now,
-                         routed.deadline),
+                         routed.deadline, routed.identity),
       .arrived = now,
       .deadline = routed.deadline});
   active_request& active = *created;
@@ -309,8 +337,12 @@
                           .reason = refused->reason,
                           .outcome = verdict::kNotRun});
   }
+  const bool reply_was_lost = std::holds_alternative<reply_lost>(outcome);
   RunActions(number, active.run.OnOutcome(loop_.Now(), shared_state_, attempt,
                                           std::move(outcome)));
+  if (reply_was_lost) {
+    on_reply_lost_();
+  }
   EraseIfFinished(number);
 }
 
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -46,7 +46,9 @@
   void Handle(http_request request, const http_responder& responder);
   /// Handles a caller's request that another host passed on: it is not passed
   /// on again.
-  void HandleForwarded(http_request request, const http_responder& responder);
+  void HandleForwarded(http_request request,
+                       const http_responder& responder,
+                       const forwarded_mark& mark);
   /// This host was found to be cut off from the endpoints: passes on the
   /// requests in progress that may run twice and have no reply yet.
   void HandOverUnanswered();
@@ -64,6 +66,11 @@
     on_endpoint_leaving_ = std::move(callback);
   }
 
+  /// Sets what is called when an attempt ended without a reply.
+  void OnReplyLost(std::function<void()> callback) {
+    on_reply_lost_ = std::move(callback);
+  }
+
   /// The process stops: requests in progress, and those that still arrive, are
   /// answered by `answer_by`.
   void AnswerBy(time_point answer_by);
@@ -79,17 +86,26 @@
   /// A request that is routed, before it is run or passed on.
   struct routed_request {
     request_id id;
+    request_identity identity;
     http_request original;
     const route* matched;
     time_point deadline;
   };
 
   /// Finds the route of a request; answers it and returns nullopt if it cannot
-  /// be served.
-  std::optional<routed_request> Route(http_request request,
-                                      const http_responder& responder);
+  /// be served. `identity` is that of a request which another host passed on.
+  std::optional<routed_request> Route(
+      http_request request,
+      const http_responder& responder,
+      std::optional<request_identity> identity = std::nullopt);
   /// Routes and runs a request that is not passed on.
-  void RunHere(http_request request, const http_responder& responder);
+  void RunHere(http_request request,
+               const http_responder& responder,
+               std::optional<request_identity> identity);
+  /// Whether the request is in quarantine; answers it if it is.
+  bool RefuseQuarantined(const request_id& id,
+                         const request_identity& identity,
+                         const http_responder& responder);
   /// Runs a request on this host's own connections.
   void Run(routed_request routed, const http_responder& responder);
   /// Whether another host can do what this one cannot: it does not reach the
@@ -105,7 +121,8 @@
   void Refuse(const http_responder& responder,
               const request_id& id,
               reason_code reason,
-              duration retry_after);
+              duration retry_after,
+              std::string detail = "");
   void RunActions(request_number number, request_run::actions actions);
   void RunAction(request_number number,
                  active_request& active,
@@ -149,6 +166,7 @@
   std::mt19937_64 random_;
   request_forwarder forwarder_;
   std::function<void(const endpoint_id&)> on_endpoint_leaving_;
+  std::function<void()> on_reply_lost_;
   std::shared_ptr<const route_table> route_table_;
   duration loop_delay_{};
   std::uint64_t last_number_ = 0;
--- a/src/trefoilmill_entry/request_handler_forward.cc
+++ b/src/trefoilmill_entry/request_handler_forward.cc
@@ -44,6 +44,7 @@
   active.wake_timer = timer();
   shared_state_.waiting.Remove(number);
   Forward({.id = active.id,
+           .identity = active.identity,
            .original = std::move(active.original),
            .matched = &active.run.matched(),
            .deadline = active.deadline},
@@ -63,6 +64,7 @@
     answer_by = std::min(answer_by, *shared_state_.answer_by);
   }
   forwarder_.Forward({.id = routed.id,
+                      .identity = routed.identity,
                       .request = std::move(routed.original),
                       .responder = responder,
                       .answer_by = answer_by,
--- a/src/trefoilmill_entry/request_handler_impl.h
+++ b/src/trefoilmill_entry/request_handler_impl.h
@@ -17,6 +17,7 @@
 /// State of a request until it is answered and its last attempt has ended.
 struct request_handler::active_request {
   request_id id;
+  request_identity identity;
   http_request original;
   http_responder responder;
   request_run run;
--- a/src/trefoilmill_entry/request_handler_notice.cc
+++ b/src/trefoilmill_entry/request_handler_notice.cc
@@ -11,6 +11,7 @@
   const time_point now = loop_.Now();
   if (exchange.response.has_value()) {
     reach.OnResponse(now, endpoint);
+    shared_state_.selector.crashes().OnAlive(now, endpoint);
     return;
   }
   switch (*exchange.failure_reason) {
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -1,6 +1,7 @@
 #include "trefoilmill_entry/store_sync.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <utility>
 
@@ -31,6 +32,10 @@
 constexpr duration kMaxAnnounceCheckDelay = std::chrono::milliseconds(2500);
 /// HTTP status of the store's reply if the object exists already.
 constexpr int kHttpConflict = 409;
+/// The same if there is no such object.
+constexpr int kHttpNotFound = 404;
+/// Delay after a failed list of a kind of which no copy is kept.
+constexpr duration kListRetryDelay = std::chrono::milliseconds(500);
 
 /// Watches of the configuration are short because they also show that the
 /// store answers. Longer watches need fewer calls.
@@ -326,6 +331,91 @@
                                  : log_message::kStoreLost);
 }
 
+int store_sync::TakeSingleReply(std::string_view call,
+                                const http_result& exchange) {
+  RecordReachability(exchange.response.has_value(), call);
+  if (!exchange.response.has_value()) {
+    return 0;
+  }
+  if (const auto era = platform::ParseStoreEra(*exchange.response)) {
+    ObserveEra(*era);
+  }
+  return exchange.response->status;
+}
+
+void store_sync::ListOnce(object_kind kind, list_callback done) {
+  ListNextPage(std::make_shared<single_list>(
+      single_list{.kind = kind, .done = std::move(done)}));
+}
+
+void store_sync::ListNextPage(const std::shared_ptr<single_list>& list) {
+  client_.Send(
+      store_,
+      platform::MakeListRequest(list->kind, list->after, /*allow_stale=*/true),
+      kCallTimeout, [this, list](const http_result& exchange) {
+        OnSinglePage(list, exchange);
+      });
+}
+
+void store_sync::OnSinglePage(const std::shared_ptr<single_list>& list,
+                              const http_result& exchange) {
+  TakeSingleReply("list", exchange);
+  auto page = exchange.response.has_value()
+                  ? platform::ParseListResponse(*exchange.response)
+                  : failure{};
+  if (!page.has_value()) {
+    telemetry_.log->Warning(
+        "store call failed",
+        {.document = document_id(std::string(ToString(list->kind))),
+         .reason = reason_code::kStoreUnavailable,
+         .detail = page.error().detail});
+    list->retry =
+        loop_.RunAfter(kListRetryDelay, [this, list] { ListNextPage(list); });
+    return;
+  }
+  std::ranges::move(page.value().items, std::back_inserter(list->items));
+  if (page.value().has_more && !list->items.empty()) {
+    list->after = list->items.back().name;
+    ListNextPage(list);
+    return;
+  }
+  list->done(list->items);
+}
+
+void store_sync::CreateOnce(object_kind kind,
+                            const std::string& name,
+                            const std::string& content,
+                            stored_callback stored) {
+  client_.Send(
+      store_, platform::MakeCreateRequest(kind, name, content), kCallTimeout,
+      [this, name, stored = std::move(stored)](const http_result& exchange) {
+        const int status = TakeSingleReply("write", exchange);
+        if (status / 100 == 2 || status == kHttpConflict) {
+          stored(era_.value_or(store_era()));
+          return;
+        }
+        telemetry_.log->Warning("store call failed",
+                                {.document = document_id(name),
+                                 .reason = reason_code::kStoreUnavailable,
+                                 .inputs = {{"status", std::int64_t{status}}}});
+      });
+}
+
+void store_sync::Delete(object_kind kind, const std::string& name) {
+  client_.Send(store_, platform::MakeDeleteRequest(kind, name), kCallTimeout,
+               [this, name](const http_result& exchange) {
+                 const int status = TakeSingleReply("delete", exchange);
+                 if (status / 100 == 2 || status == kHttpNotFound) {
+                   return;
+                 }
+                 telemetry_.log->Warning(
+                     "store call failed",
+                     {.document = document_id(name),
+                      .reason = reason_code::kStoreUnavailable,
+                      .inputs = {{"status", std::int64_t{status}}}});
+               });
+}
+
 void store_sync::Announce(object_kind kind,
                           std::string name,
                           std::string content) {
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "trefoilmill/ids.h"
 #include "trefoilmill/net/event_loop.h"
@@ -50,6 +51,19 @@
   /// Writes an object that belongs to this host, and retries until the store
   /// confirms it.
   void Announce(object_kind kind, std::string name, std::string content);
+  /// Lists a kind of which no copy is kept, and retries until the store
+  /// replies. The list may be seconds old.
+  using list_callback = std::function<void(const std::vector<stored_object>&)>;
+  void ListOnce(object_kind kind, list_callback done);
+  /// Creates an object, once. `stored` is called with the store's era if the
+  /// object is there, from this call or before; a failure is logged.
+  using stored_callback = std::function<void(store_era)>;
+  void CreateOnce(object_kind kind,
+                  const std::string& name,
+                  const std::string& content,
+                  stored_callback stored);
+  /// Deletes an object, once; a failure is logged.
+  void Delete(object_kind kind, const std::string& name);
   /// Sets whether this host watches the store itself. The list of hosts is
   /// never watched: membership reports changes of hosts sooner.
   void SetWatching(bool watching);
@@ -68,6 +82,8 @@
   /// again if the store has lost it.
   void ObserveEra(store_era era);
 
+  /// The store's era; unset until the store or a peer stated one.
+  std::optional<store_era> era() const { return era_; }
   /// The local copy of a kind.
   const store_follower& Follower(object_kind kind) const;
   /// Whether the store answers this host. Judged by the configuration, whose
@@ -98,6 +114,21 @@
   /// Writes the announced object again unless the store has it in this era.
   void RestoreAnnouncement();
   void OnCallFailed(followed_kind& followed, const failure& error);
+  /// A list in progress that ListOnce() began.
+  struct single_list {
+    object_kind kind;
+    list_callback done;
+    std::vector<stored_object> items;
+    /// The name of the last item; empty before the first page.
+    std::string after;
+    timer retry;
+  };
+  void ListNextPage(const std::shared_ptr<single_list>& list);
+  void OnSinglePage(const std::shared_ptr<single_list>& list,
+                    const http_result& exchange);
+  /// Handles what all replies to single calls have in common; returns the
+  /// response's status, or 0 without a response.
+  int TakeSingleReply(std::string_view call, const http_result& exchange);
   /// Creates or replaces the announced object. `failures` counts the failed
   /// attempts so far.
   void SendAnnouncement(bool create, int failures);
