--- a/src/include/trefoilmill/process/request_quarantine.h
+++ b/src/include/trefoilmill/process/request_quarantine.h
@@ -97,8 +97,9 @@
   /// News to pass on to other hosts, at most `most`; each is returned a few
   /// times.
   std::vector<quarantine_report> TakeNews(time_point now, std::size_t most);
-  /// All records.
-  std::vector<quarantine_report> AllReports(time_point now) const;
+  /// At most `most` records, those with most strikes first.
+  std::vector<quarantine_report> Reports(time_point now,
+                                         std::size_t most) const;
   /// Equal on hosts with the same records.
   std::uint64_t Digest() const;
   /// @}
--- a/src/libtrefoilmill/process/request_quarantine.cc
+++ b/src/libtrefoilmill/process/request_quarantine.cc
@@ -1,6 +1,7 @@
 #include "trefoilmill/process/request_quarantine.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <ranges>
 #include <tuple>
@@ -329,13 +330,18 @@
   return news;
 }
 
-std::vector<quarantine_report> request_quarantine::AllReports(
-    time_point now) const {
+std::vector<quarantine_report> request_quarantine::Reports(
+    time_point now,
+    std::size_t most) const {
   std::vector<quarantine_report> reports;
   std::ranges::transform(records_, std::back_inserter(reports),
                          [now](const auto& entry) {
                            return MakeReport(now, entry.first, entry.second);
                          });
+  std::ranges::stable_sort(
+      reports, std::ranges::greater(),
+      [](const quarantine_report& report) { return report.strikes.size(); });
+  reports.resize(std::min(reports.size(), most));
   return reports;
 }
 
--- a/src/trefoilmill_entry/quarantine_sync.cc
+++ b/src/trefoilmill_entry/quarantine_sync.cc
@@ -21,12 +21,13 @@
 /// Hosts that one host tells its news, each time. With every host passing news
 /// on twice, the chance that one misses it is e^-16.
 constexpr std::size_t kNewsReceivers = 8;
-/// Records in one datagram.
+/// Records in one datagram, and in all that answer one comparison: those with
+/// most strikes come first.
 constexpr std::size_t kReportsPerMessage = 24;
+constexpr std::size_t kReportsPerComparison = 240;
 /// How much later than the one before it the next host in line writes a record
-/// to the store, and how many wait in line.
+/// to the store, and how much more rarely it tries again.
 constexpr duration kStoreTurn = std::chrono::milliseconds(1000);
-constexpr std::size_t kMaxStoreRank = 20;
 
 }  // namespace
 
@@ -106,7 +107,8 @@
 }
 
 void quarantine_sync::SendAll(const host_id& to) {
-  const auto reports = shared_state_.quarantine.AllReports(loop_.Now());
+  const auto reports =
+      shared_state_.quarantine.Reports(loop_.Now(), kReportsPerComparison);
   for (std::size_t begin = 0; begin < reports.size();
        begin += kReportsPerMessage) {
     const auto part = reports | std::views::drop(begin) |
@@ -173,8 +175,7 @@
                          &host_record::id);
   for (const request_fingerprint request : unstored) {
     const auto [since, is_new] = unstored_since_.try_emplace(request, now);
-    const std::size_t rank =
-        std::min(StoreRank(request, fleet_.self().id, others), kMaxStoreRank);
+    const std::size_t rank = StoreRank(request, fleet_.self().id, others);
     const bool is_own_turn =
         now - since->second >= static_cast<int>(rank) * kStoreTurn;
     if (is_own_turn) {
