Roll-outs: a service's traffic moves to a new version, and back when it is bad

Cause: nothing read an order at rollouts/SERVICE. Endpoints of a version on trial got their full share of requests, and no state was written.

Change: version_evidence compares the answers of the new version with those of the old one by sequential likelihood ratios, by route and endpoint; rollout_trial keeps one host's share and stage, rollout_table those of all services; rollout_sync carries reports to the deciders, news of stages to all hosts and states to the store. Off unless the settings state an exposure limit.

--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -131,8 +131,9 @@
 class Fleet:
     """The platform's stand-in with two endpoints a shard, and entry hosts."""
 
-    def __init__(self, network, hosts, routes=()):
+    def __init__(self, network, hosts, routes=(), settings=None):
         self.network = network
+        self.settings = settings or {}
         self.store = platform.Store()
         platform.serve_store(f"{network}.0.1", STORE_PORT, self.store)
         self.endpoints = {}
@@ -180,13 +181,20 @@
         start()
 
     def start_host(self, number):
-        return Host(self.network, number)
+        return Host(self.network, number, **self.settings)
+
+    def serve(self, name, service, port, version="v1", born=1):
+        """Adds an endpoint."""
+        self.endpoints[name] = platform.Endpoint(name, record(1) + record(2))
+        platform.serve_endpoint(f"{self.network}.2.1", port,
+                                self.endpoints[name], self.links)
+        self.register(name, service, port, born=born, version=version)
 
     def register(self, name, service, port, state="ready", zone="perth",
-                 born=1):
+                 born=1, version="v1"):
         self.store.put("servers", name, {
             "backend": service, "address": f"{self.network}.2.1:{port}",
-            "zone": zone, "version": "v1", "max_concurrency": 4,
+            "zone": zone, "version": version, "max_concurrency": 4,
             "state": state, "warmup_left_ms": 0, "sequence": 1,
             "born": born})
 
@@ -206,9 +214,9 @@
 
 
 @contextlib.contextmanager
-def running(network, hosts, routes=()):
-    """`routes` are added to the configuration."""
-    fleet = Fleet(network, hosts, routes)
+def running(network, hosts, routes=(), settings=None):
+    """`routes` are added to the configuration, `settings` to those of hosts."""
+    fleet = Fleet(network, hosts, routes, settings)
     try:
         yield fleet
     finally:
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -64,6 +64,26 @@
             self._events.append((self._revision, kind, item, False))
             return item
 
+    def status(self, kind, name):
+        """Returns what the system wrote of an object, or None."""
+        with self._lock:
+            item = self._objects.get((kind, name))
+            return None if item is None else item["status"]
+
+    def put_status(self, kind, name, status, revision):
+        """Replaces the status, unless the object has changed since `revision`.
+        Returns the object, and whether it was written."""
+        with self._lock:
+            item = self._objects.get((kind, name))
+            if item is None or item["meta"]["revision"] != revision:
+                return item, False
+            self._revision += 1
+            item = item | {"status": status, "meta": item["meta"] | {
+                "revision": self._revision}}
+            self._objects[(kind, name)] = item
+            self._events.append((self._revision, kind, item, False))
+            return item, True
+
     def delete(self, kind, name):
         with self._lock:
             self._revision += 1
@@ -103,6 +123,8 @@
         self.records = records
         self.delay_s = delay_s
         self.fails = False
+        # Answers each so manieth request with an error; 0 for none.
+        self.error_every = 0
         self.refuses = False
         # Seconds of the Retry-After header of refusals; None sends none.
         self.retry_after_s = None
@@ -227,6 +249,15 @@
                 return 404, era, b"{}"
             store.delete(kind, name)
             result = {}
+        elif name.endswith("/status"):
+            value = json.loads(body)
+            item, written = store.put_status(
+                kind, name.removesuffix("/status"), value["status"],
+                value["meta"]["revision"])
+            if not written:
+                return 404 if item is None else 409, era, json.dumps(
+                    item).encode()
+            result = item
         else:
             value = json.loads(body)
             name = name or value["meta"]["name"]
@@ -280,6 +311,9 @@
         headers = {"Trefoilmill-Request-Id": identity,
                    "Trefoilmill-Server-Stamp":
                        f"{endpoint.instance}.{identity}"}
+        failing = endpoint.error_every
+        if failing and len(endpoint.runs) % failing == 0:
+            return 500, headers, b""
         return 200, headers, endpoint.records
 
     return _listen(ip, port, respond, links)
--- a/src/include/trefoilmill/entry_settings.h
+++ b/src/include/trefoilmill/entry_settings.h
@@ -8,6 +8,7 @@
 
 #include "trefoilmill/ids.h"
 #include "trefoilmill/process/extra_send_budget.h"
+#include "trefoilmill/process/rollout_trial.h"
 #include "trefoilmill/settings.h"
 #include "trefoilmill/time.h"
 
@@ -40,6 +41,8 @@
   /// An endpoint that leaves gets nothing after this long.
   duration drain = std::chrono::seconds(3);
   extra_send_limit extra_sends;
+  /// Limit on requests to versions on trial; roll-outs are served if it is set.
+  exposure_limit rollout_exposure;
   log_level log = log_level::kInfo;
   friend bool operator==(const entry_settings&,
                          const entry_settings&) = default;
--- a/src/include/trefoilmill/ids.h
+++ b/src/include/trefoilmill/ids.h
@@ -42,6 +42,8 @@
 using zone_id = strong_id<struct zone_tag, std::string>;
 using service_id = strong_id<struct service_tag, std::string>;
 using endpoint_id = strong_id<struct endpoint_tag, std::string>;
+/// Version of the software that an endpoint runs.
+using software_version = strong_id<struct software_version_tag, std::string>;
 /// Names one object of the system in the platform's store.
 using document_id = strong_id<struct document_tag, std::string>;
 /// @}
--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -15,6 +15,7 @@
 #include "trefoilmill/process/endpoint_selector.h"
 #include "trefoilmill/process/request_limits.h"
 #include "trefoilmill/process/request_quarantine.h"
+#include "trefoilmill/process/rollout_table.h"
 #include "trefoilmill/time.h"
 #include "trefoilmill/verdict.h"
 
@@ -233,6 +234,19 @@
   bool is_reply = false;
 };
 
+/// @name Roll-outs
+/// @{
+/// What the sender has seen of roll-outs in progress; to their deciders.
+struct rollout_report_message {
+  std::vector<rollout_report> reports;
+};
+
+/// Stages that roll-outs have entered. A host that learns of one passes it on.
+struct rollout_stage_message {
+  std::vector<rollout_table::stage_news> news;
+};
+/// @}
+
 using peer_message = std::variant<hello_message,
                                   ping_message,
                                   ack_message,
@@ -249,7 +263,9 @@
                                   endpoint_limits_message,
                                   endpoint_reach_message,
                                   quarantine_reports_message,
-                                  quarantine_digest_message>;
+                                  quarantine_digest_message,
+                                  rollout_report_message,
+                                  rollout_stage_message>;
 
 }  // namespace trefoilmill
 
--- a/src/include/trefoilmill/net/metrics.h
+++ b/src/include/trefoilmill/net/metrics.h
@@ -57,6 +57,8 @@
   kCutOff,
   kForwardedRequests,
   kQuarantinedRequests,
+  kRolloutStage,
+  kRolloutSends,
   kConfigurationVersion,
   kLogLinesDropped,
 };
--- a/src/include/trefoilmill/process/endpoint_registry.h
+++ b/src/include/trefoilmill/process/endpoint_registry.h
@@ -37,6 +37,8 @@
   /// Start time of the endpoint's process by its own clock, in milliseconds
   /// since 1970. Distinguishes two instances that use the same id.
   std::uint64_t started_ms = 0;
+  /// Empty if the platform does not state it.
+  software_version software;
   friend bool operator==(const endpoint_record&,
                          const endpoint_record&) = default;
 };
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -19,6 +19,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -87,6 +88,10 @@
   void SetZonesOutOfService(std::set<zone_id> zones) {
     zones_out_ = std::move(zones);
   }
+  /// Sets endpoints that get no requests, whatever their zone.
+  void SetWithheld(std::set<endpoint_id> endpoints) {
+    withheld_ = std::move(endpoints);
+  }
   /// Discards all statistics of an endpoint.
   void Forget(const endpoint_id& id) {
     stats_.erase(id);
@@ -172,6 +177,8 @@
   void OnSend(time_point now, const endpoint_id& id, attempt_id attempt);
   /// Takes back OnSend(): the send was planned but not carried out.
   void CancelSend(const endpoint_id& id, attempt_id attempt);
+  /// Number of sends to the endpoint that have not ended.
+  std::size_t InFlight(const endpoint_id& id) const;
   /// A send ended, and is no longer in flight. Updates the endpoint's
   /// statistics according to the outcome. Ignored if the attempt is unknown.
   void OnSendFinished(time_point now,
@@ -260,6 +267,7 @@
   zone_id zone_;
   std::mt19937_64 rng_;
   std::set<zone_id> zones_out_;
+  std::set<endpoint_id> withheld_;
   std::unordered_map<endpoint_id, endpoint_stats> stats_;
   request_limits limits_;
   endpoint_reach reach_;
--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -15,6 +15,7 @@
 #include "trefoilmill/process/extra_send_budget.h"
 #include "trefoilmill/process/latency_histogram.h"
 #include "trefoilmill/process/request_quarantine.h"
+#include "trefoilmill/process/rollout_table.h"
 #include "trefoilmill/version/routing_config.h"
 
 namespace trefoilmill {
@@ -38,6 +39,8 @@
   std::optional<time_point> answer_by;
   /// Requests under which endpoints have ended.
   request_quarantine quarantine{};
+  /// Roll-outs of new versions of services' software.
+  rollout_table rollouts{};
   /// The most recently assigned attempt id.
   std::uint64_t last_attempt_id = 0;
 };
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -256,6 +256,15 @@
                 shared_request_state& shared,
                 std::size_t index,
                 actions& out);
+  /// Selects an endpoint for a send of the shard, of the version that a
+  /// roll-out of its service assigns to it.
+  static endpoint_selector::selection SelectEndpoint(
+      time_point now,
+      shared_request_state& shared,
+      const shard& s,
+      duration expected,
+      duration time_left,
+      endpoint_selector::purpose purpose);
   /// Why nothing is sent on this selection.
   static resend_obstacle ObstacleOf(
       const endpoint_selector::selection& selection);
@@ -264,6 +273,11 @@
                         shared_request_state& shared,
                         shard& s,
                         resend_obstacle obstacle);
+  /// Takes in what the end of an attempt says of the endpoint's software.
+  void RecordVersionAnswer(time_point now,
+                           shared_request_state& shared,
+                           const attempt& done,
+                           const attempt_outcome& outcome) const;
   void SendTo(time_point now,
               shared_request_state& shared,
               std::size_t index,
--- a/src/include/trefoilmill/version/stored_object.h
+++ b/src/include/trefoilmill/version/stored_object.h
@@ -18,16 +18,18 @@
   kEndpoints,
   kZonesOut,  ///< Availability zones that operators took out of service.
   kHosts,     ///< Announcements of the hosts of this system.
+  kRollouts,  ///< Orders to move services to another software version.
   kQuarantinedRequests,  ///< Requests that are sent to no endpoint any more.
 };
 
-/// The kinds of which hosts keep copies, for iteration.
+/// The kinds of which hosts keep copies, for iteration. Roll-outs are followed
+/// only where the settings call for it.
 inline constexpr object_kind kObjectKinds[] = {
     object_kind::kConfiguration, object_kind::kEndpoints,
-    object_kind::kZonesOut, object_kind::kHosts};
+    object_kind::kZonesOut, object_kind::kHosts, object_kind::kRollouts};
 
-/// Returns "configuration", "endpoints", "zones_out", "hosts" or
-/// "quarantined_requests", for logs and digests.
+/// Returns "configuration", "endpoints", "zones_out", "hosts",
+/// "rollouts" or "quarantined_requests", for logs and digests.
 std::string_view ToString(object_kind kind);
 
 /// One object of the store.
@@ -35,7 +37,8 @@
   std::string name;
   /// Store revision of the last write, or of the deletion in a deletion event.
   revision at;
-  /// JSON text.
+  /// JSON text; see platform::DecodeRollout() for that of an order, which
+  /// includes the state that the system writes.
   std::string content;
   friend bool operator==(const stored_object&, const stored_object&) = default;
 };
--- a/src/include/trefoilmill/wire/log_messages.h
+++ b/src/include/trefoilmill/wire/log_messages.h
@@ -53,6 +53,13 @@
     "endpoint states no request limit any more";
 /// @}
 
+/// @name Roll-outs
+/// @{
+inline constexpr char kRolloutStage[] = "roll-out enters a stage";
+inline constexpr char kRolloutRejected[] = "new version rejected";
+inline constexpr char kRolloutStateWritten[] = "state of a roll-out written";
+/// @}
+
 /// @name Requests under which endpoints end
 /// @{
 inline constexpr char kEndpointEnded[] =
--- a/src/libtmwire/entry_settings_codec.cc
+++ b/src/libtmwire/entry_settings_codec.cc
@@ -14,6 +14,7 @@
 
 constexpr integer_range kPorts = {0, 65535};
 constexpr number_range kRatios = {0, 10};
+constexpr number_range kUnitInterval = {0, 1};
 constexpr number_range kSlacks = {0, 1e9};
 constexpr number_range kProcessors = {0.001, 1000};
 constexpr number_range kSeconds = {0.1, 3600};
@@ -78,6 +79,10 @@
   reader.Number("extra_send_ratio", kRatios, kOptional, out.extra_sends.ratio);
   reader.Number("extra_send_slack", kSlacks, kOptional, out.extra_sends.slack);
   ReadSeconds(reader, "extra_send_window_s", out.extra_sends.window);
+  reader.Number("rollout_exposure_ratio", kUnitInterval, kOptional,
+                out.rollout_exposure.ratio);
+  reader.Number("rollout_exposure_slack", kSlacks, kOptional,
+                out.rollout_exposure.slack);
   ReadLogLevel(reader, out.log);
   return out;
 }
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -194,6 +194,9 @@
   static bool EnumFromCode(int code, member_state& v) {
     return InRange(code, member_state::kReleased, v);
   }
+  static bool EnumFromCode(int code, rollout_stage& v) {
+    return InRange(code, rollout_stage::kRejected, v);
+  }
   static bool EnumFromCode(int code, host_record::state& v) {
     return InRange(code, host_record::state::kLeaving, v);
   }
@@ -279,6 +282,20 @@
     fields(r.endpoint, r.started_ms, r.per_thousand_seconds, r.age);
   } else if constexpr (kIs<store_feed, record>) {
     fields(r.fresh, r.documents, r.kind, r.from, r.changes);
+  } else if constexpr (kIs<rollout_order, record>) {
+    fields(r.service, r.target, r.length);
+  } else if constexpr (kIs<evidence_total, record>) {
+    fields(r.route, r.endpoint, r.answers, r.failures, r.failing_milli,
+           r.slow_milli);
+  } else if constexpr (kIs<rollout_report, record>) {
+    fields(r.order, r.process, r.sequence, r.stage, r.old_idle, r.sends,
+           r.new_sends, r.totals);
+  } else if constexpr (kIs<rollout_report_message, record>) {
+    fields(r.reports);
+  } else if constexpr (kIs<rollout_table::stage_news, record>) {
+    fields(r.order, r.stage, r.elapsed);
+  } else if constexpr (kIs<rollout_stage_message, record>) {
+    fields(r.news);
   } else if constexpr (kIs<hedge_started_message, record>) {
     fields(r.request, r.attempt);
   } else {
--- a/src/libtrefoilmill/process/endpoint_selector_usability.cc
+++ b/src/libtrefoilmill/process/endpoint_selector_usability.cc
@@ -15,7 +15,8 @@
     time_point now,
     const endpoint_registry::entry& entry) const {
   if (entry.record.draining || entry.address_reused ||
-      zones_out_.contains(entry.record.zone)) {
+      zones_out_.contains(entry.record.zone) ||
+      withheld_.contains(entry.record.id)) {
     return false;
   }
   const auto found = stats_.find(entry.record.id);
@@ -38,12 +39,18 @@
                                  const endpoint_registry::entry& entry) const {
   const auto found = stats_.find(entry.record.id);
   return !entry.record.draining && !entry.address_reused &&
-         !zones_out_.contains(entry.record.zone) && found != stats_.end() &&
+         !zones_out_.contains(entry.record.zone) &&
+         !withheld_.contains(entry.record.id) && found != stats_.end() &&
          found->second.paused_until <= now &&
          GroupOf(now, entry) == candidate_group::kWarm &&
          !limits_.LimitOf(entry.record.id).has_value();
 }
 
+std::size_t endpoint_selector::InFlight(const endpoint_id& id) const {
+  const auto found = stats_.find(id);
+  return found == stats_.end() ? 0 : found->second.in_flight.size();
+}
+
 bool endpoint_selector::IsOnlyPaused(
     time_point now,
     const endpoint_registry::entry& entry) const {
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -94,9 +94,8 @@
                            actions& out) {
   shard& s = shards_[index];
   const auto selection =
-      shared.selector.Select(now, shared.registry, s.service, s.tried_endpoints,
-                             ExpectedLatency(shared, *route_), TimeLeft(now),
-                             endpoint_selector::purpose::kFirst);
+      SelectEndpoint(now, shared, s, ExpectedLatency(shared, *route_),
+                     TimeLeft(now), endpoint_selector::purpose::kFirst);
   if (const auto* selected =
           std::get_if<endpoint_selector::selected>(&selection)) {
     SendTo(now, shared, index, selected->endpoint, out);
@@ -114,6 +113,37 @@
   counts_.last_failure = reason_code::kNoReplica;
 }
 
+endpoint_selector::selection request_run::SelectEndpoint(
+    time_point now,
+    shared_request_state& shared,
+    const shard& s,
+    duration expected,
+    duration time_left,
+    endpoint_selector::purpose purpose) {
+  const auto select = [&](const std::vector<endpoint_id>& excluded) {
+    return shared.selector.Select(now, shared.registry, s.service, excluded,
+                                  expected, time_left, purpose);
+  };
+  const auto choice =
+      shared.rollouts.Choose(now, s.service, s.tried_endpoints.empty());
+  if (choice == rollout_table::version_choice::kAny) {
+    return select(s.tried_endpoints);
+  }
+  std::vector<endpoint_id> excluded = s.tried_endpoints;
+  shared.rollouts.Exclude(shared.registry, s.service, choice, excluded);
+  const auto selection = select(excluded);
+  const auto alternative = rollout_table::Alternative(
+      choice,
+      std::holds_alternative<endpoint_selector::no_capacity>(selection));
+  if (std::holds_alternative<endpoint_selector::selected>(selection) ||
+      !alternative.has_value()) {
+    return selection;
+  }
+  excluded = s.tried_endpoints;
+  shared.rollouts.Exclude(shared.registry, s.service, *alternative, excluded);
+  return select(excluded);
+}
+
 resend_obstacle request_run::ObstacleOf(
     const endpoint_selector::selection& selection) {
   struct visitor {
@@ -182,6 +212,7 @@
   const send_outcome send_result = ClassifyOutcome(outcome);
   shared.selector.OnSendFinished(now, done.endpoint, id,
                                  ExpectedLatency(shared, *route_), send_result);
+  RecordVersionAnswer(now, shared, done, outcome);
   if (const auto* refused = std::get_if<endpoint_refused>(&outcome);
       refused != nullptr && refused->reason == reason_code::kWrongInstance) {
     shared.registry.MarkAddressReused(now, done.endpoint);
@@ -221,6 +252,26 @@
   return out;
 }
 
+void request_run::RecordVersionAnswer(time_point now,
+                                      shared_request_state& shared,
+                                      const attempt& done,
+                                      const attempt_outcome& outcome) const {
+  const auto* lost = std::get_if<reply_lost>(&outcome);
+  const bool timed_out =
+      lost != nullptr && lost->reason == reason_code::kDeadlineExceeded;
+  // Broken connections tell of hosts and links rather than of the software.
+  if (!timed_out && !std::holds_alternative<endpoint_replied>(outcome)) {
+    return;
+  }
+  shared.rollouts.OnAnswer(
+      now, shared.registry,
+      {.route = route_->id,
+       .endpoint = done.endpoint,
+       .sent = done.sent,
+       .expected = ExpectedLatency(shared, *route_),
+       .failed = ClassifyOutcome(outcome) == send_outcome::kFailed});
+}
+
 bool request_run::CanRetry(const shard& s) const {
   const auto limit = static_cast<std::size_t>(route_->max_endpoints);
   return s.tried_endpoints.size() < limit &&
--- a/src/libtrefoilmill/request/request_run_hedge.cc
+++ b/src/libtrefoilmill/request/request_run_hedge.cc
@@ -86,8 +86,7 @@
                            ? endpoint_selector::purpose::kFirst
                            : endpoint_selector::purpose::kHedge;
   const auto selection =
-      shared.selector.Select(now, shared.registry, s.service, s.tried_endpoints,
-                             usual, TimeLeft(now), purpose);
+      SelectEndpoint(now, shared, s, usual, TimeLeft(now), purpose);
   const auto* selected = std::get_if<endpoint_selector::selected>(&selection);
   if (selected == nullptr) {
     s.obstacle = ObstacleOf(selection);
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -28,6 +28,8 @@
       return "zones_out";
     case object_kind::kHosts:
       return "hosts";
+    case object_kind::kRollouts:
+      return "rollouts";
     case object_kind::kQuarantinedRequests:
       return "quarantined_requests";
   }
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -53,7 +53,9 @@
       .admission = deadline_admission(std::mt19937_64(std::random_device()())),
       .waiting = {},
       .longest_waits = {},
-      .answer_by = {}};
+      .answer_by = {},
+      .rollouts = rollout_table(settings.rollout_exposure,
+                                std::mt19937_64(std::random_device()()))};
 }
 
 /// Assigns the created server, or returns the error.
@@ -118,7 +120,8 @@
   process->requests_->OnEndpointLeaving(
       [self](const endpoint_id& id) { self->OnEndpointLeaving(id); });
   process->store_ = std::make_unique<store_sync>(
-      loop, settings.store, settings.callers.ip, process->telemetry_,
+      loop, settings.store, settings.callers.ip,
+      process->shared_state_.rollouts.is_enabled(), process->telemetry_,
       store_sync::callbacks{
           .on_replaced =
               [self](object_kind kind) { self->OnObjectsReplaced(kind); },
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -41,6 +41,9 @@
     case object_kind::kHosts:
       UpdateHosts();
       break;
+    case object_kind::kRollouts:
+      peers_->OnRolloutOrdersChanged();
+      break;
     case object_kind::kQuarantinedRequests:
       // quarantine_sync reads them once; no copy is kept.
       break;
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -50,6 +50,9 @@
   created->quarantine_ = std::make_unique<quarantine_sync>(
       loop, shared_state, *created->fleet_, *created->datagrams_, store,
       process_telemetry, std::mt19937_64(random()));
+  created->rollouts_ = std::make_unique<rollout_sync>(
+      loop, shared_state, *created->fleet_, *created->datagrams_, store,
+      process_telemetry, std::mt19937_64(random()));
   created->Start();
   return created;
 }
@@ -89,8 +92,13 @@
   quarantine_->SendNews();
 }
 
+void peer_gossip::OnRolloutOrdersChanged() {
+  rollouts_->OnOrdersChanged();
+}
+
 void peer_gossip::RunHousekeeping() {
   quarantine_->RunHousekeeping();
+  rollouts_->RunHousekeeping();
 }
 
 void peer_gossip::AnnounceLeaving() {
@@ -155,6 +163,12 @@
   void operator()(const quarantine_digest_message& digest) const {
     gossip.quarantine_->OnDigest(from, digest);
   }
+  void operator()(const rollout_report_message& reports) const {
+    gossip.rollouts_->OnReports(from, reports);
+  }
+  void operator()(const rollout_stage_message& stages) const {
+    gossip.rollouts_->OnStages(stages);
+  }
   void operator()(const store_feed& feed) const {
     gossip.feeds_->OnFeed(from, feed);
   }
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -6,7 +6,8 @@
 /// * store_feeds: changes that hosts which watch the store forward;
 /// * peer_copies: objects of which a peer has a newer revision;
 /// * trouble_reports: endpoints that are slow, failing or leaving;
-/// * quarantine_sync: requests under which endpoints have ended.
+/// * quarantine_sync: requests under which endpoints have ended;
+/// * rollout_sync: roll-outs of new versions of services' software.
 #ifndef TREFOILMILL_ENTRY_PEER_GOSSIP_H_
 #define TREFOILMILL_ENTRY_PEER_GOSSIP_H_
 
@@ -22,6 +23,7 @@
 #include "trefoilmill_entry/peer_datagrams.h"
 #include "trefoilmill_entry/quarantine_sync.h"
 #include "trefoilmill_entry/request_forwarder.h"
+#include "trefoilmill_entry/rollout_sync.h"
 #include "trefoilmill_entry/store_feeds.h"
 #include "trefoilmill_entry/store_sync.h"
 #include "trefoilmill_entry/telemetry.h"
@@ -67,6 +69,8 @@
   void ReportDeparture(const endpoint_departure& departure);
   /// Tells other hosts under which requests endpoints were found to have ended.
   void ShareQuarantineNews();
+  /// The stored orders of roll-outs have changed.
+  void OnRolloutOrdersChanged();
   /// To be called several times a second.
   void RunHousekeeping();
   /// Announces that this host takes no new work.
@@ -105,6 +109,7 @@
   std::unique_ptr<store_feeds> feeds_;
   std::unique_ptr<trouble_reports> troubles_;
   std::unique_ptr<quarantine_sync> quarantine_;
+  std::unique_ptr<rollout_sync> rollouts_;
 };
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -75,11 +75,13 @@
 store_sync::store_sync(event_loop& loop,
                        const socket_address& store,
                        const std::string& local_ip,
+                       bool follows_rollouts,
                        telemetry& process_telemetry,
                        callbacks on_event,
                        std::mt19937_64 random)
     : loop_(loop),
       store_(store),
+      follows_rollouts_(follows_rollouts),
       telemetry_(process_telemetry),
       callbacks_(std::move(on_event)),
       client_(loop,
@@ -101,10 +103,16 @@
 void store_sync::Start() {
   SetWatching(false);
   for (auto& [kind, followed] : followed_kinds_) {
-    RunActions(*followed, followed->follower.Start());
+    if (Follows(kind)) {
+      RunActions(*followed, followed->follower.Start());
+    }
   }
 }
 
+bool store_sync::Follows(object_kind kind) const {
+  return kind != object_kind::kRollouts || follows_rollouts_;
+}
+
 const store_follower& store_sync::Follower(object_kind kind) const {
   return followed_kinds_.at(kind)->follower;
 }
@@ -116,7 +124,8 @@
 void store_sync::SetWatching(bool watching) {
   watching_ = watching;
   for (auto& [kind, followed] : followed_kinds_) {
-    const bool wanted = watching && kind != object_kind::kHosts;
+    const bool wanted =
+        watching && kind != object_kind::kHosts && Follows(kind);
     RunActions(*followed, followed->follower.SetWatching(wanted));
   }
 }
@@ -164,9 +173,11 @@
            revision(era, Follower(object_kind::kConfiguration).as_of().value()),
        .inputs = {{"era_before", static_cast<std::int64_t>(before->value())},
                   {"watching", std::int64_t{watching_}}}});
-  for (auto& followed : std::views::values(followed_kinds_)) {
-    ++followed->call_number;
-    RunActions(*followed, followed->follower.OnStoreRestored(era));
+  for (auto& [kind, followed] : followed_kinds_) {
+    if (Follows(kind)) {
+      ++followed->call_number;
+      RunActions(*followed, followed->follower.OnStoreRestored(era));
+    }
   }
   if (watching_) {
     RelistHosts();
@@ -229,24 +240,24 @@
 void store_sync::RunAction(followed_kind& followed,
                            const store_follower::list_page& action) {
   const std::uint64_t number = ++followed.call_number;
-  client_.Send(store_,
-               platform::MakeListRequest(followed.kind, action.after,
-                                         action.may_be_stale),
-               kCallTimeout, [this, &followed, number](http_result exchange) {
-                 const auto response =
-                     TakeReply(followed, number, "list", std::move(exchange));
-                 if (!response.has_value()) {
-                   return;
-                 }
-                 auto page = platform::ParseListResponse(*response);
-                 if (!page.has_value()) {
-                   OnCallFailed(followed, page.error());
-                   return;
-                 }
-                 RunActions(followed,
-                            followed.follower.OnPage(loop_.Now(),
-                                                     std::move(page.value())));
-               });
+  client_.Send(
+      store_,
+      platform::MakeListRequest(followed.kind, action.after,
+                                action.may_be_stale),
+      kCallTimeout, [this, &followed, number](http_result exchange) {
+        const auto response =
+            TakeReply(followed, number, "list", std::move(exchange));
+        if (!response.has_value()) {
+          return;
+        }
+        auto page = platform::ParseListResponse(followed.kind, *response);
+        if (!page.has_value()) {
+          OnCallFailed(followed, page.error());
+          return;
+        }
+        RunActions(followed, followed.follower.OnPage(loop_.Now(),
+                                                      std::move(page.value())));
+      });
 }
 
 void store_sync::RunAction(followed_kind& followed,
@@ -262,7 +273,7 @@
         if (!response.has_value()) {
           return;
         }
-        auto changes = platform::ParseWatchResponse(*response);
+        auto changes = platform::ParseWatchResponse(followed.kind, *response);
         if (!changes.has_value()) {
           OnCallFailed(followed, changes.error());
           return;
@@ -361,7 +372,7 @@
                               const http_result& exchange) {
   TakeSingleReply("list", exchange);
   auto page = exchange.response.has_value()
-                  ? platform::ParseListResponse(*exchange.response)
+                  ? platform::ParseListResponse(list->kind, *exchange.response)
                   : failure{};
   if (!page.has_value()) {
     telemetry_.log->Warning(
@@ -401,6 +412,26 @@
       });
 }
 
+void store_sync::WriteRolloutState(const rollout_order& order,
+                                   rollout_state state,
+                                   revision at) {
+  client_.Send(
+      store_, platform::MakeRolloutStateRequest(order, state, at), kCallTimeout,
+      [this, service = order.service, state](const http_result& exchange) {
+        const int status = TakeSingleReply("write", exchange);
+        const bool is_written = status / 100 == 2;
+        // After a conflict the list shows the state that is in the store.
+        telemetry_.log->Info(
+            is_written ? log_message::kRolloutStateWritten
+                       : "state of a roll-out not written",
+            {.document = document_id(service.value()),
+             .reason = is_written ? reason_code::kNone
+                                  : reason_code::kStoreUnavailable,
+             .detail = std::string(ToString(state)),
+             .inputs = {{"status", std::int64_t{status}}}});
+      });
+}
+
 void store_sync::Delete(object_kind kind, const std::string& name) {
   client_.Send(store_, platform::MakeDeleteRequest(kind, name), kCallTimeout,
                [this, name](const http_result& exchange) {
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -17,6 +17,7 @@
 #include "trefoilmill/ids.h"
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
+#include "trefoilmill/version/rollout.h"
 #include "trefoilmill/version/store_follower.h"
 #include "trefoilmill_entry/telemetry.h"
 
@@ -37,10 +38,12 @@
         on_store_changes;
   };
 
-  /// Calls the store at `store` from the address `local_ip`.
+  /// Calls the store at `store` from the address `local_ip`. Orders of
+  /// roll-outs are followed only if the deployment has any.
   store_sync(event_loop& loop,
              const socket_address& store,
              const std::string& local_ip,
+             bool follows_rollouts,
              telemetry& process_telemetry,
              callbacks on_event,
              std::mt19937_64 random);
@@ -62,6 +65,11 @@
                   const std::string& name,
                   const std::string& content,
                   stored_callback stored);
+  /// Writes the state of a roll-out, once, unless its order has changed since
+  /// `at`. The followed list shows whether that succeeded.
+  void WriteRolloutState(const rollout_order& order,
+                         rollout_state state,
+                         revision at);
   /// Deletes an object, once; a failure is logged.
   void Delete(object_kind kind, const std::string& name);
   /// Sets whether this host watches the store itself. The list of hosts is
@@ -93,6 +101,8 @@
  private:
   struct followed_kind;
 
+  /// Whether this deployment uses the kind.
+  bool Follows(object_kind kind) const;
   void RunActions(followed_kind& followed,
                   const store_follower::actions& actions);
   void RunAction(followed_kind& followed,
@@ -137,6 +147,7 @@
 
   event_loop& loop_;
   socket_address store_;
+  bool follows_rollouts_;
   telemetry& telemetry_;
   callbacks callbacks_;
   http_client client_;
