Organisations: keys and quotas

Cause: nothing in the entry process knew of organisations. The caller's key was passed on to endpoints, unknown keys were served, and no quota was kept.

Change: organisations are part of a configuration. A key is turned into its organisation at the edge and goes no further; endpoints and other hosts get the name. organisation_quotas keeps the quota of all hosts together: a few hosts issue an organisation's permits and lend them to those whose callers need them. The organisation's priority goes before the route's.

--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -13,6 +13,7 @@
 #include "trefoilmill/deployment.h"
 #include "trefoilmill/ids.h"
 #include "trefoilmill/process/endpoint_selector.h"
+#include "trefoilmill/process/organisation_quotas.h"
 #include "trefoilmill/process/request_limits.h"
 #include "trefoilmill/process/request_quarantine.h"
 #include "trefoilmill/process/rollout_table.h"
@@ -247,6 +248,19 @@
 };
 /// @}
 
+/// @name Quotas of organisations
+/// @{
+/// Asks the receiver for permits, or gives some back.
+struct quota_request_message {
+  std::vector<permit_amount> wanted;
+};
+
+/// Lends permits in reply; zero if there are none to spare.
+struct quota_grant_message {
+  std::vector<permit_amount> lent;
+};
+/// @}
+
 using peer_message = std::variant<hello_message,
                                   ping_message,
                                   ack_message,
@@ -265,7 +279,9 @@
                                   quarantine_reports_message,
                                   quarantine_digest_message,
                                   rollout_report_message,
-                                  rollout_stage_message>;
+                                  rollout_stage_message,
+                                  quota_request_message,
+                                  quota_grant_message>;
 
 }  // namespace trefoilmill
 
--- a/src/include/trefoilmill/process/capacity_queue.h
+++ b/src/include/trefoilmill/process/capacity_queue.h
@@ -15,6 +15,7 @@
 
 #include "trefoilmill/ids.h"
 #include "trefoilmill/time.h"
+#include "trefoilmill/version/organisation.h"
 
 namespace trefoilmill {
 
@@ -27,8 +28,7 @@
   struct waiter {
     request_number request;
     std::size_t shard = 0;
-    /// 0 is the most urgent.
-    int priority = 0;
+    request_priority priority;
     /// Latest time at which the request can be answered within its objective.
     time_point objective_deadline;
   };
--- a/src/include/trefoilmill/process/deadline_admission.h
+++ b/src/include/trefoilmill/process/deadline_admission.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "trefoilmill/time.h"
+#include "trefoilmill/version/organisation.h"
 
 namespace trefoilmill {
 
@@ -36,8 +37,7 @@
     double min_coverage = 1;
     /// Time until the answer misses the objective.
     duration time_left{};
-    /// 0 is the most urgent.
-    int priority = 0;
+    request_priority priority;
     /// The caller was refused before and came back.
     bool returned = false;
   };
--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -14,6 +14,7 @@
 #include "trefoilmill/process/endpoint_selector.h"
 #include "trefoilmill/process/extra_send_budget.h"
 #include "trefoilmill/process/latency_histogram.h"
+#include "trefoilmill/process/organisation_quotas.h"
 #include "trefoilmill/process/request_quarantine.h"
 #include "trefoilmill/process/rollout_table.h"
 #include "trefoilmill/version/routing_config.h"
@@ -39,6 +40,8 @@
   std::optional<time_point> answer_by;
   /// Requests under which endpoints have ended.
   request_quarantine quarantine{};
+  /// Quotas of organisations.
+  organisation_quotas quotas{};
   /// Roll-outs of new versions of services' software.
   rollout_table rollouts{};
   /// The most recently assigned attempt id.
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -161,13 +161,15 @@
   /// one of its routes. `services` are the shards of a gather target, or the
   /// one service selected from a relay target. `deadline` is the time at which
   /// the caller stops waiting. Without an `identity` nothing is known of
-  /// earlier requests like it, and nothing is recorded of this one.
+  /// earlier requests like it, and nothing is recorded of this one. The
+  /// priority of the caller's organisation goes before the route's.
   request_run(std::shared_ptr<const route_table> table,
               const route& r,
               std::vector<service_id> services,
               time_point arrived,
               time_point deadline,
-              std::optional<request_identity> identity = std::nullopt);
+              std::optional<request_identity> identity = std::nullopt,
+              int organisation_priority = 0);
 
   /// Sends every shard's first attempt, or refuses the request if it cannot be
   /// answered in time or with enough shards.
@@ -197,6 +199,7 @@
   bool finished() const { return finished_; }
   /// The route that the request matched.
   const route& matched() const { return *route_; }
+  request_priority priority() const { return priority_; }
   const summary& counts() const { return counts_; }
   /// The shards without a good reply, or that were hedged or due to be, at most
   /// `limit`; those without a reply first.
@@ -388,6 +391,7 @@
   std::shared_ptr<const route_table> table_;
   const route* route_;
   std::optional<request_identity> identity_;
+  request_priority priority_;
   /// Endpoints have ended under earlier requests like this one.
   bool suspect_ = false;
   /// Attempts whose connection broke before a reply, and those of them that
--- a/src/include/trefoilmill/verdict.h
+++ b/src/include/trefoilmill/verdict.h
@@ -52,6 +52,8 @@
   kNotReady,            ///< No configuration is in force yet.
   kShuttingDown,        ///< The host is stopping.
   kQuarantined,         ///< Endpoints ended under earlier requests like it.
+  kUnauthorized,        ///< The caller's key is missing or unknown.
+  kQuotaExceeded,       ///< The organisation's quota is used up.
 };
 
 /// The wire name of a verdict: "not_run", "may_have_run", "ran".
--- a/src/include/trefoilmill/version/route_table.h
+++ b/src/include/trefoilmill/version/route_table.h
@@ -18,8 +18,9 @@
  public:
   /// Builds the table. Fails with kBadRequest and the route's id in the detail
   /// if a route has no target service, or if its prefix does not begin and end
-  /// with a slash. If two routes have the same host name and prefix, the first
-  /// one takes effect.
+  /// with a slash, and with the organisation's id if an organisation has no
+  /// name or that of another one, or a key that is empty or occurs twice. If
+  /// two routes have the same host name and prefix, the first one takes effect.
   static result<std::shared_ptr<const route_table>> Create(
       routing_config config);
 
@@ -29,6 +30,13 @@
   /// a fragment in `target`.
   const route* Match(std::string_view host, std::string_view target) const;
 
+  /// The organisation that holds `key`; nullptr if none does.
+  const organisation* FindByKey(std::string_view key) const;
+  /// The organisation of that name; nullptr if there is none.
+  const organisation* Find(const organisation_id& id) const;
+  /// Whether callers of routes that are not public need a key.
+  bool has_organisations() const { return !config_.organisations.empty(); }
+
   /// Returns the rules of a service. An undeclared service gets the defaults of
   /// service_settings, which allow one connection per endpoint.
   const service_settings& SettingsOf(const service_id& service) const;
@@ -43,6 +51,9 @@
   routing_config config_;
   /// Keyed by host name, in lower case and without a port.
   std::unordered_map<std::string, routes_by_prefix> routes_by_host_;
+  std::unordered_map<std::string_view, const organisation*>
+      organisations_by_key_;
+  std::unordered_map<organisation_id, const organisation*> organisations_;
 };
 
 }  // namespace trefoilmill
--- a/src/include/trefoilmill/version/routing_config.h
+++ b/src/include/trefoilmill/version/routing_config.h
@@ -13,6 +13,7 @@
 
 #include "trefoilmill/ids.h"
 #include "trefoilmill/time.h"
+#include "trefoilmill/version/organisation.h"
 
 namespace trefoilmill {
 
@@ -72,6 +73,8 @@
   int priority = 0;
   /// Maximum number of endpoints of one service that a request is sent to.
   int max_endpoints = 1;
+  /// Callers need no key, and their requests belong to no organisation.
+  bool is_public = false;
   std::variant<relay_target, gather_target> target;
   friend bool operator==(const route&, const route&) = default;
 };
@@ -106,6 +109,8 @@
   std::vector<route> routes;
   std::map<service_id, service_settings> services;
   caller_limits callers;
+  /// Empty if callers need no keys.
+  std::vector<organisation> organisations;
   friend bool operator==(const routing_config&,
                          const routing_config&) = default;
 };
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -189,7 +189,7 @@
     return InRange(code, verdict::kRan, v);
   }
   static bool EnumFromCode(int code, reason_code& v) {
-    return InRange(code, reason_code::kQuarantined, v);
+    return InRange(code, reason_code::kQuotaExceeded, v);
   }
   static bool EnumFromCode(int code, member_state& v) {
     return InRange(code, member_state::kReleased, v);
@@ -296,6 +296,12 @@
     fields(r.order, r.stage, r.elapsed);
   } else if constexpr (kIs<rollout_stage_message, record>) {
     fields(r.news);
+  } else if constexpr (kIs<permit_amount, record>) {
+    fields(r.organisation, r.milli);
+  } else if constexpr (kIs<quota_request_message, record>) {
+    fields(r.wanted);
+  } else if constexpr (kIs<quota_grant_message, record>) {
+    fields(r.lent);
   } else if constexpr (kIs<hedge_started_message, record>) {
     fields(r.request, r.attempt);
   } else {
--- a/src/libtrefoilmill/process/capacity_queue_test.cc
+++ b/src/libtrefoilmill/process/capacity_queue_test.cc
@@ -18,7 +18,7 @@
   void Push(std::uint64_t request, int priority, duration time_left) {
     queue.Push(test_service, {.request = request_number(request),
                               .shard = 0,
-                              .priority = priority,
+                              .priority = {.route = priority},
                               .objective_deadline = now + time_left});
   }
   std::uint64_t Pop() { return queue.Pop(now, test_service)->request.value(); }
--- a/src/libtrefoilmill/process/deadline_admission.cc
+++ b/src/libtrefoilmill/process/deadline_admission.cc
@@ -60,7 +60,7 @@
 std::optional<duration> deadline_admission::RetryAfterIfRefused(
     const prospect& expected) {
   const auto latency = LatencyForCoverage(expected);
-  if (!latency.has_value() || expected.priority == 0) {
+  if (!latency.has_value() || expected.priority.IsMostUrgent()) {
     return std::nullopt;
   }
   const double ratio = SafetyRatio(*latency, expected.time_left);
--- a/src/libtrefoilmill/process/deadline_admission_test.cc
+++ b/src/libtrefoilmill/process/deadline_admission_test.cc
@@ -18,7 +18,7 @@
   return {.shard_latencies = std::move(latencies),
           .min_coverage = 0.75,
           .time_left = milliseconds(200),
-          .priority = 1};
+          .priority = {.route = 1}};
 }
 
 /// Fraction of 1000 requests that are let in.
@@ -79,7 +79,7 @@
 
 BOOST_AUTO_TEST_CASE(the_most_urgent_requests_are_let_in) {
   prospect expected = Expect({milliseconds(2000)});
-  expected.priority = 0;
+  expected.priority = {};
   BOOST_TEST(Admitted(expected) == 1.0);
 }
 
--- a/src/libtrefoilmill/process/version_evidence.cc
+++ b/src/libtrefoilmill/process/version_evidence.cc
@@ -41,7 +41,9 @@
 constexpr double kMaxRate = 0.95;
 
 /// Stands for all routes: a version that is bad on each shows sooner there.
-const route_id kAllRoutes;
+route_id AllRoutes() {
+  return {};
+}
 
 /// Log-likelihood ratio of one answer, in thousandths.
 std::int64_t LogRatioMilli(const defect_test& test,
@@ -84,7 +86,7 @@
   if (!Counts(now, answer)) {
     return;
   }
-  for (const route_id& route : {answer.route, kAllRoutes}) {
+  for (const route_id& route : {answer.route, AllRoutes()}) {
     route_rates& rates = old_rates_[route];
     rates.failing.Add(answer.failed);
     if (!answer.failed) {
@@ -96,7 +98,7 @@
 double version_evidence::OldRate(const route_id& route,
                                  defect_rate route_rates::* defect,
                                  double prior) {
-  const double all_routes = (old_rates_[kAllRoutes].*defect).Value(prior);
+  const double all_routes = (old_rates_[AllRoutes()].*defect).Value(prior);
   return (old_rates_[route].*defect).Value(all_routes);
 }
 
@@ -143,7 +145,7 @@
       return other.route == total.route && other.endpoint == total.endpoint;
     });
     const evidence_total base = old == before.end() ? evidence_total{} : *old;
-    for (const route_id& route : {total.route, kAllRoutes}) {
+    for (const route_id& route : {total.route, AllRoutes()}) {
       endpoint_sums& sums = sums_[route][total.endpoint];
       sums.failing.Add(total.failing_milli - base.failing_milli);
       sums.slow.Add(total.slow_milli - base.slow_milli);
--- a/src/libtrefoilmill/request/endpoint_simulation_test.h
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -305,7 +305,7 @@
     hosts_[number]->shared.waiting.Push(
         action.service, {.request = request_number(id),
                          .shard = action.shard,
-                         .priority = 1,
+                         .priority = {.route = 1},
                          .objective_deadline = action.objective_deadline});
   }
   void ApplyOne(std::size_t number,
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -69,10 +69,12 @@
                          std::vector<service_id> services,
                          time_point arrived,
                          time_point deadline,
-                         std::optional<request_identity> identity)
+                         std::optional<request_identity> identity,
+                         int organisation_priority)
     : table_(std::move(table)),
       route_(&r),
       identity_(identity),
+      priority_{.organisation = organisation_priority, .route = r.priority},
       arrived_(arrived),
       answer_deadline_(
           std::min(deadline - kAnswerDeliveryMargin, arrived + r.timeout)),
--- a/src/libtrefoilmill/request/request_run_start.cc
+++ b/src/libtrefoilmill/request/request_run_start.cc
@@ -159,7 +159,7 @@
   deadline_admission::prospect prospect{.shard_latencies = {},
                                         .min_coverage = 1,
                                         .time_left = time_left,
-                                        .priority = route_->priority};
+                                        .priority = priority_};
   if (const auto* gather = std::get_if<gather_target>(&route_->target)) {
     prospect.min_coverage = gather->min_coverage;
   }
--- a/src/libtrefoilmill/verdict.cc
+++ b/src/libtrefoilmill/verdict.cc
@@ -47,6 +47,8 @@
     named<reason_code>{reason_code::kNotReady, "not_ready"},
     named<reason_code>{reason_code::kShuttingDown, "shutting_down"},
     named<reason_code>{reason_code::kQuarantined, "quarantined"},
+    named<reason_code>{reason_code::kUnauthorized, "unauthorized"},
+    named<reason_code>{reason_code::kQuotaExceeded, "quota_exceeded"},
 };
 
 template <class value, std::size_t count>
--- a/src/libtrefoilmill/version/route_table.cc
+++ b/src/libtrefoilmill/version/route_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace trefoilmill {
@@ -41,6 +42,33 @@
   return std::nullopt;
 }
 
+/// Returns why an organisation is invalid, or nullopt if all are valid. Names
+/// no key.
+std::optional<std::string> FindError(
+    const std::vector<organisation>& organisations) {
+  std::set<organisation_id> names;
+  std::set<std::string_view> keys;
+  for (const organisation& o : organisations) {
+    const std::string name = "organisation " + o.id.value() + ": ";
+    if (o.id.value().empty() || !names.insert(o.id).second) {
+      return name + "its name is empty or occurs twice";
+    }
+    for (const std::string& key : o.keys) {
+      if (key.empty() || !keys.insert(key).second) {
+        return name + "a key is empty or occurs twice";
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+failure InvalidConfiguration(std::string detail) {
+  return {.outcome = verdict::kNotRun,
+          .reason = reason_code::kBadRequest,
+          .detail = std::move(detail),
+          .retry_after = std::nullopt};
+}
+
 }  // namespace
 
 std::vector<service_id> ServicesOf(const route& r) {
@@ -58,12 +86,12 @@
     routing_config config) {
   for (const route& r : config.routes) {
     if (const auto error = FindError(r)) {
-      return failure{.outcome = verdict::kNotRun,
-                     .reason = reason_code::kBadRequest,
-                     .detail = "route " + r.id.value() + ": " + *error,
-                     .retry_after = std::nullopt};
+      return InvalidConfiguration("route " + r.id.value() + ": " + *error);
     }
   }
+  if (auto error = FindError(config.organisations)) {
+    return InvalidConfiguration(std::move(*error));
+  }
   return std::shared_ptr<const route_table>(new route_table(std::move(config)));
 }
 
@@ -71,6 +99,22 @@
   for (const route& r : config_.routes) {
     routes_by_host_[NormalizeHost(r.host)].try_emplace(r.prefix, &r);
   }
+  for (const organisation& o : config_.organisations) {
+    organisations_.emplace(o.id, &o);
+    for (const std::string& key : o.keys) {
+      organisations_by_key_.emplace(key, &o);
+    }
+  }
+}
+
+const organisation* route_table::FindByKey(std::string_view key) const {
+  const auto found = organisations_by_key_.find(key);
+  return found == organisations_by_key_.end() ? nullptr : found->second;
+}
+
+const organisation* route_table::Find(const organisation_id& id) const {
+  const auto found = organisations_.find(id);
+  return found == organisations_.end() ? nullptr : found->second;
 }
 
 const route* route_table::Match(std::string_view host,
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -153,12 +153,15 @@
                      const forwarded_mark& mark) {
                 self->requests_->HandleForwarded(std::move(request), responder,
                                                  mark);
-              }},
+              },
+          .on_permits_lent = [self] { self->requests_->OnPermitsLent(); }},
       std::mt19937_64(random()));
   if (!peers.has_value()) {
     return peers.error();
   }
   process->peers_ = std::move(peers.value());
+  process->requests_->OnPermitsNeeded(
+      [self] { self->peers_->quotas().SendWants(); });
   process->requests_->SetForwardingPeers(process->peers_->ForwardingPeers());
   process->stop_ = std::make_unique<planned_stop>(
       loop,
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -112,6 +112,7 @@
       config.callers.max_body_bytes,
       config.callers.idle_timeout * kIdleTimeoutFactor);
   requests_->SetRouteTable(route_table_);
+  peers_->quotas().SetRouteTable(route_table_);
   hosts_changed_ = true;
   ApplyHostChanges();
   UpdateConnectionLimits();
@@ -340,8 +341,9 @@
   const auto known = peers_->KnownHosts();
   sending_hosts_ = CountSendingHosts(settings_.host, entry_hosts_, known);
   shared_state_.extra_sends.SetHosts(sending_hosts_);
-  shared_state_.selector.limits().SetSenders(
-      settings_.host, SelectSenders(entry_hosts_, known));
+  const std::vector<host_id> senders = SelectSenders(entry_hosts_, known);
+  shared_state_.selector.limits().SetSenders(settings_.host, senders);
+  shared_state_.quotas.SetHosts(loop_.Now(), settings_.host, senders);
   telemetry_.meter->Set(metric::kHosts, static_cast<double>(known.size()),
                         {"known"});
   pools_->SetStandby(!sending_hosts_.is_advertised);
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -50,6 +50,9 @@
   created->quarantine_ = std::make_unique<quarantine_sync>(
       loop, shared_state, *created->fleet_, *created->datagrams_, store,
       process_telemetry, std::mt19937_64(random()));
+  created->quotas_ =
+      std::make_unique<quota_sync>(loop, shared_state, *created->datagrams_,
+                                   std::move(on_event.on_permits_lent));
   created->rollouts_ = std::make_unique<rollout_sync>(
       loop, shared_state, *created->fleet_, *created->datagrams_, store,
       process_telemetry, std::mt19937_64(random()));
@@ -98,6 +101,7 @@
 
 void peer_gossip::RunHousekeeping() {
   quarantine_->RunHousekeeping();
+  quotas_->RunHousekeeping();
   rollouts_->RunHousekeeping();
 }
 
@@ -163,6 +167,12 @@
   void operator()(const quarantine_digest_message& digest) const {
     gossip.quarantine_->OnDigest(from, digest);
   }
+  void operator()(const quota_request_message& request) const {
+    gossip.quotas_->OnRequest(from, request);
+  }
+  void operator()(const quota_grant_message& grant) const {
+    gossip.quotas_->OnGrant(from, grant);
+  }
   void operator()(const rollout_report_message& reports) const {
     gossip.rollouts_->OnReports(from, reports);
   }
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -7,6 +7,7 @@
 /// * peer_copies: objects of which a peer has a newer revision;
 /// * trouble_reports: endpoints that are slow, failing or leaving;
 /// * quarantine_sync: requests under which endpoints have ended;
+/// * quota_sync: permits of organisations' quotas;
 /// * rollout_sync: roll-outs of new versions of services' software.
 #ifndef TREFOILMILL_ENTRY_PEER_GOSSIP_H_
 #define TREFOILMILL_ENTRY_PEER_GOSSIP_H_
@@ -22,6 +23,7 @@
 #include "trefoilmill_entry/peer_copies.h"
 #include "trefoilmill_entry/peer_datagrams.h"
 #include "trefoilmill_entry/quarantine_sync.h"
+#include "trefoilmill_entry/quota_sync.h"
 #include "trefoilmill_entry/request_forwarder.h"
 #include "trefoilmill_entry/rollout_sync.h"
 #include "trefoilmill_entry/store_feeds.h"
@@ -42,6 +44,8 @@
     trouble_reports::departure_callback on_departure;
     /// Another host passes a caller's request on to this one.
     peer_copies::forwarded_callback on_forwarded;
+    /// Other hosts replied to requests for permits.
+    std::function<void()> on_permits_lent;
   };
 
   /// Binds the UDP and the TCP port of `settings.peers`. Fails if membership
@@ -69,6 +73,8 @@
   void ReportDeparture(const endpoint_departure& departure);
   /// Tells other hosts under which requests endpoints were found to have ended.
   void ShareQuarantineNews();
+  /// The part that carries permits of quotas.
+  quota_sync& quotas() { return *quotas_; }
   /// The stored orders of roll-outs have changed.
   void OnRolloutOrdersChanged();
   /// To be called several times a second.
@@ -109,6 +115,7 @@
   std::unique_ptr<store_feeds> feeds_;
   std::unique_ptr<trouble_reports> troubles_;
   std::unique_ptr<quarantine_sync> quarantine_;
+  std::unique_ptr<quota_sync> quotas_;
   std::unique_ptr<rollout_sync> rollouts_;
 };
 
--- a/src/trefoilmill_entry/request_forwarder.cc
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -15,6 +15,9 @@
 /// fingerprints, separated by kIdentitySeparator.
 constexpr char kForwardedHeader[] = "Trefoilmill-Forwarded";
 constexpr char kIdentitySeparator = '-';
+/// The organisation of a forwarded request's caller; empty if it has none.
+constexpr char kForwardedOrganisationHeader[] =
+    "Trefoilmill-Forwarded-Organisation";
 /// In the answer of a host that is cut off from the endpoints, too: the ids of
 /// such hosts, comma-separated, and how many at most.
 constexpr char kCutOffHeader[] = "Trefoilmill-Cut-Off";
@@ -64,10 +67,22 @@
                           .content_and_caller = *with_caller};
 }
 
+void RemoveMark(http_request& request) {
+  std::erase_if(request.headers, [](const http_header& header) {
+    return SameHeaderName(header.name, kForwardedHeader) ||
+           SameHeaderName(header.name, kForwardedOrganisationHeader);
+  });
+}
+
 }  // namespace
 
-void MarkForwarded(http_request& request, const request_identity& identity) {
+void MarkForwarded(http_request& request,
+                   const request_identity& identity,
+                   const organisation_id& organisation) {
+  RemoveMark(request);
   request.headers.push_back({kForwardedHeader, FormatIdentity(identity)});
+  request.headers.push_back(
+      {kForwardedOrganisationHeader, organisation.value()});
 }
 
 std::optional<forwarded_mark> TakeForwardedMark(http_request& request) {
@@ -75,10 +90,12 @@
   if (!value.has_value()) {
     return std::nullopt;
   }
-  std::erase_if(request.headers, [](const http_header& header) {
-    return SameHeaderName(header.name, kForwardedHeader);
-  });
-  return forwarded_mark{.identity = ParseIdentity(*value)};
+  forwarded_mark mark{.identity = ParseIdentity(*value)};
+  if (auto name = request.Header(kForwardedOrganisationHeader)) {
+    mark.organisation = organisation_id(std::move(*name));
+  }
+  RemoveMark(request);
+  return mark;
 }
 
 http_response MakeCutOffResponse(const std::vector<host_id>& cut_off) {
@@ -157,7 +174,8 @@
     const auto ended = TakeOut(active_.find(n));
     telemetry_.meter->Increment(metric::kForwardedRequests, {"not_taken"});
     ended->request.request = platform::MakeForwardedRequest(
-        ended->request.request, std::max(left, duration::zero()));
+        ended->request.request, ended->request.organisation,
+        std::max(left, duration::zero()));
     on_not_taken_(std::move(ended->request));
     return;
   }
@@ -168,9 +186,10 @@
        .peer = peer->id,
        .outcome = active.request.so_far,
        .inputs = {{"tried", static_cast<std::int64_t>(active.tried.size())}}});
-  http_request sent = platform::MakeForwardedRequest(active.request.request,
-                                                     left - kPeerRoundTrip);
-  MarkForwarded(sent, active.request.identity);
+  http_request sent = platform::MakeForwardedRequest(
+      active.request.request, active.request.organisation,
+      left - kPeerRoundTrip);
+  MarkForwarded(sent, active.request.identity, active.request.organisation);
   active.sent = client_.Send(peer->peer, sent, left,
                              [this, n, id = peer->id](http_result exchange) {
                                OnResult(n, id, std::move(exchange));
--- a/src/trefoilmill_entry/request_forwarder.h
+++ b/src/trefoilmill_entry/request_forwarder.h
@@ -29,6 +29,8 @@
   request_id id;
   /// As it arrived from the caller.
   request_identity identity;
+  /// The caller's organisation; empty if it has none.
+  organisation_id organisation;
   http_request request;
   http_responder responder;
   /// When the caller has to have its answer.
@@ -39,12 +41,18 @@
 };
 
 /// Marks the request as forwarded, for the other host, which cannot tell its
-/// caller.
-void MarkForwarded(http_request& request, const request_identity& identity);
+/// caller and does not get the caller's key. Replaces what the caller may have
+/// written there.
+void MarkForwarded(http_request& request,
+                   const request_identity& identity,
+                   const organisation_id& organisation);
 /// What the mark of a forwarded request says.
 struct forwarded_mark {
   /// Unset if the sender did not state it.
   std::optional<request_identity> identity;
+  /// The caller's organisation, empty if it has none. Unset if the sender did
+  /// not state it: it is of an earlier version, and passes keys on.
+  std::optional<organisation_id> organisation;
 };
 /// The mark if the request was forwarded; removes it.
 std::optional<forwarded_mark> TakeForwardedMark(http_request& request);
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -45,7 +45,8 @@
                  std::mt19937_64(random_()),
                  [this](forwarded_request not_taken) {
                    RunHere(std::move(not_taken.request), not_taken.responder,
-                           not_taken.identity);
+                           {.identity = not_taken.identity,
+                            .organisation = not_taken.organisation});
                  }) {}
 
 request_handler::~request_handler() = default;
@@ -89,14 +90,18 @@
 void request_handler::Handle(http_request request,
                              const http_responder& responder) {
   auto routed = Route(std::move(request), responder);
-  if (!routed.has_value()) {
-    return;
+  if (routed.has_value()) {
+    StartWithPermit(std::move(*routed), responder);
   }
-  if (NeedsOtherHost(loop_.Now(), *routed->matched)) {
-    Forward(std::move(*routed), responder, verdict::kNotRun);
+}
+
+void request_handler::StartRequest(routed_request routed,
+                                   const http_responder& responder) {
+  if (NeedsOtherHost(loop_.Now(), *routed.matched)) {
+    Forward(std::move(routed), responder, verdict::kNotRun);
     return;
   }
-  Run(std::move(*routed), responder);
+  Run(std::move(routed), responder);
 }
 
 void request_handler::HandleForwarded(http_request request,
@@ -107,22 +112,41 @@
     responder.Send(MakeCutOffResponse(forwarder_.peers().cut_off()));
     return;
   }
-  RunHere(std::move(request), responder, mark.identity);
+  RunHere(std::move(request), responder, mark);
 }
 
 void request_handler::RunHere(http_request request,
                               const http_responder& responder,
-                              std::optional<request_identity> identity) {
-  auto routed = Route(std::move(request), responder, identity);
+                              const forwarded_mark& mark) {
+  auto routed = Route(std::move(request), responder, mark);
   if (routed.has_value()) {
     Run(std::move(*routed), responder);
   }
 }
 
+bool request_handler::Identify(const std::optional<std::string>& key,
+                               const forwarded_mark& mark,
+                               routed_request& routed) {
+  if (mark.organisation.has_value()) {
+    routed.owner_id = *mark.organisation;
+    routed.owner = routed.table->Find(routed.owner_id);
+    return true;
+  }
+  if (!routed.table->has_organisations() || routed.matched->is_public) {
+    return true;
+  }
+  routed.owner = key.has_value() ? routed.table->FindByKey(*key) : nullptr;
+  if (routed.owner == nullptr) {
+    return false;
+  }
+  routed.owner_id = routed.owner->id;
+  return true;
+}
+
 std::optional<request_handler::routed_request> request_handler::Route(
     http_request request,
     const http_responder& responder,
-    std::optional<request_identity> identity) {
+    const forwarded_mark& mark) {
   auto parsed = platform::ParseCallerRequest(request);
   if (!parsed.has_value()) {
     Refuse(responder, request_id(), reason_code::kBadRequest, {});
@@ -138,23 +162,33 @@
     Refuse(responder, caller.id, reason_code::kUnknownService, {});
     return std::nullopt;
   }
-  if (matched->priority > 0 &&
+  routed_request routed{
+      .id = caller.id,
+      .identity = mark.identity.has_value()
+                      ? *mark.identity
+                      : IdentifyRequest(request, caller.host),
+      .table = route_table_,
+      .matched = matched,
+      .deadline = loop_.Now() + caller.time_left.value_or(matched->timeout)};
+  if (!Identify(caller.key, mark, routed)) {
+    Refuse(responder, caller.id, reason_code::kUnauthorized, {});
+    return std::nullopt;
+  }
+  if (!PriorityOf(routed).IsMostUrgent() &&
       loop_delay_ > matched->objective / kLoopDelayDivisor) {
     Refuse(responder, caller.id, reason_code::kOverloaded, kOverloadRetryAfter);
     return std::nullopt;
   }
-  if (!identity.has_value()) {
-    identity = IdentifyRequest(request, caller.host);
-  }
-  if (RefuseQuarantined(caller.id, *identity, responder)) {
+  if (RefuseQuarantined(caller.id, routed.identity, responder)) {
     return std::nullopt;
   }
-  return routed_request{
-      .id = caller.id,
-      .identity = *identity,
-      .original = std::move(request),
-      .matched = matched,
-      .deadline = loop_.Now() + caller.time_left.value_or(matched->timeout)};
+  routed.original = std::move(request);
+  return routed;
+}
+
+request_priority request_handler::PriorityOf(const routed_request& routed) {
+  return {.organisation = routed.owner == nullptr ? 0 : routed.owner->priority,
+          .route = routed.matched->priority};
 }
 
 bool request_handler::RefuseQuarantined(const request_id& id,
@@ -183,10 +217,13 @@
   auto created = std::make_unique<active_request>(active_request{
       .id = routed.id,
       .identity = routed.identity,
+      .organisation = routed.owner_id,
+      .holds_permit = routed.holds_permit,
       .original = std::move(routed.original),
       .responder = responder,
-      .run = request_run(route_table_, matched, SelectServices(matched), now,
-                         routed.deadline, routed.identity),
+      .run = request_run(routed.table, matched, SelectServices(matched), now,
+                         routed.deadline, routed.identity,
+                         PriorityOf(routed).organisation),
       .arrived = now,
       .deadline = routed.deadline});
   active_request& active = *created;
@@ -241,7 +278,8 @@
   }
   const bool sent = pools_.Send(
       action.endpoint, action.attempt,
-      platform::MakeEndpointRequest(active.original, action.endpoint, left),
+      platform::MakeEndpointRequest(active.original, active.organisation,
+                                    action.endpoint, left),
       left + kReplyMargin,
       [this, number, attempt = action.attempt](http_result exchange) {
         OnAttemptEnd(number, attempt, std::move(exchange));
@@ -260,7 +298,7 @@
   shared_state_.waiting.Push(action.service,
                              {.request = number,
                               .shard = action.shard,
-                              .priority = active.run.matched().priority,
+                              .priority = active.run.priority(),
                               .objective_deadline = action.objective_deadline});
   for (const endpoint_id& id :
        shared_state_.registry.EndpointsOf(action.service)) {
@@ -281,6 +319,10 @@
   if (active.caller_disconnected) {
     return;
   }
+  if (active.holds_permit &&
+      std::holds_alternative<refused_answer>(action.answer)) {
+    shared_state_.quotas.Return(loop_.Now(), active.organisation);
+  }
   RecordAnswer(active, action.answer);
   active.responder.Send(
       platform::MakeCallerResponse(active.id, std::move(action.answer)));
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -59,6 +59,12 @@
   /// Continues a request that waits for a connection, when one to the endpoint
   /// may be idle.
   void OnConnectionIdle(const endpoint_id& id);
+  /// Continues requests that wait for permits, as some were lent.
+  void OnPermitsLent() { RetryWaiting(); }
+  /// Sets what is called when permits may have to be asked for.
+  void OnPermitsNeeded(std::function<void()> callback) {
+    on_permits_needed_ = std::move(callback);
+  }
 
   /// Sets what is called when an endpoint's reply was the first to say that it
   /// is leaving.
@@ -76,7 +82,7 @@
   void AnswerBy(time_point answer_by);
   /// Number of requests that have no answer yet.
   std::size_t unanswered() const {
-    return unanswered_ + forwarder_.unanswered();
+    return unanswered_ + forwarder_.unanswered() + waiting_.size();
   }
   /// Logs each request that has no answer yet, as the process stops now.
   void LogUnanswered();
@@ -87,21 +93,50 @@
   struct routed_request {
     request_id id;
     request_identity identity;
+    /// The configuration that `matched` and `owner` belong to.
+    std::shared_ptr<const route_table> table;
+    /// The caller's organisation; nullptr if it has none, or if this host's
+    /// configuration does not have the one that another host named.
+    const organisation* owner = nullptr;
+    organisation_id owner_id;
     http_request original;
-    const route* matched;
+    const route* matched = nullptr;
     time_point deadline;
+    /// It took a permit of the organisation's quota at this host.
+    bool holds_permit = false;
+  };
+  /// A request that waits for a permit of its organisation's quota.
+  struct waiting_request {
+    routed_request routed;
+    http_responder responder;
+    time_point give_up_at;
   };
 
-  /// Finds the route of a request; answers it and returns nullopt if it cannot
-  /// be served. `identity` is that of a request which another host passed on.
-  std::optional<routed_request> Route(
-      http_request request,
-      const http_responder& responder,
-      std::optional<request_identity> identity = std::nullopt);
+  /// Finds the route of a request and the caller's organisation; answers it and
+  /// returns nullopt if it cannot be served. `mark` is that of a request which
+  /// another host passed on.
+  std::optional<routed_request> Route(http_request request,
+                                      const http_responder& responder,
+                                      const forwarded_mark& mark = {});
+  /// Finds the caller's organisation, by its key or as another host named it.
+  /// Returns whether the caller may use the route.
+  static bool Identify(const std::optional<std::string>& key,
+                       const forwarded_mark& mark,
+                       routed_request& routed);
+  static request_priority PriorityOf(const routed_request& routed);
   /// Routes and runs a request that is not passed on.
   void RunHere(http_request request,
                const http_responder& responder,
-               std::optional<request_identity> identity);
+               const forwarded_mark& mark);
+  /// Takes a permit of the organisation's quota and starts the request; lets it
+  /// wait, or refuses it, if there is none.
+  void StartWithPermit(routed_request routed,
+                       const http_responder& responder,
+                       std::optional<time_point> give_up_at = std::nullopt);
+  /// Runs a request, or passes it on.
+  void StartRequest(routed_request routed, const http_responder& responder);
+  /// Tries again the requests that wait for a permit.
+  void RetryWaiting();
   /// Whether the request is in quarantine; answers it if it is.
   bool RefuseQuarantined(const request_id& id,
                          const request_identity& identity,
@@ -167,6 +202,10 @@
   request_forwarder forwarder_;
   std::function<void(const endpoint_id&)> on_endpoint_leaving_;
   std::function<void()> on_reply_lost_;
+  std::function<void()> on_permits_needed_;
+  /// In order of arrival.
+  std::vector<waiting_request> waiting_;
+  timer waiting_timer_;
   std::shared_ptr<const route_table> route_table_;
   duration loop_delay_{};
   std::uint64_t last_number_ = 0;
--- a/src/trefoilmill_entry/request_handler_forward.cc
+++ b/src/trefoilmill_entry/request_handler_forward.cc
@@ -45,6 +45,7 @@
   shared_state_.waiting.Remove(number);
   Forward({.id = active.id,
            .identity = active.identity,
+           .owner_id = active.organisation,
            .original = std::move(active.original),
            .matched = &active.run.matched(),
            .deadline = active.deadline},
@@ -65,6 +66,7 @@
   }
   forwarder_.Forward({.id = routed.id,
                       .identity = routed.identity,
+                      .organisation = routed.owner_id,
                       .request = std::move(routed.original),
                       .responder = responder,
                       .answer_by = answer_by,
--- a/src/trefoilmill_entry/request_handler_impl.h
+++ b/src/trefoilmill_entry/request_handler_impl.h
@@ -18,6 +18,8 @@
 struct request_handler::active_request {
   request_id id;
   request_identity identity;
+  organisation_id organisation;
+  bool holds_permit = false;
   http_request original;
   http_responder responder;
   request_run run;
