--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -101,11 +101,12 @@
     def ready(self):
         return call(self.ip, READY, "/trefoilmill/ready")[0] == 200
 
-    def ask(self, path, request_id, method="GET", body=None):
+    def ask(self, path, request_id, method="GET", body=None, headers=None):
         return call(self.ip, FRONT, path,
                     {"Host": "shop.example",
                      "Trefoilmill-Request-Id": request_id,
-                     "Trefoilmill-Deadline-Ms": "3000"}, method, body)
+                     "Trefoilmill-Deadline-Ms": "3000"} | (headers or {}),
+                    method, body)
 
     def whole(self, request_id):
         """Whether a query over all shards gets a whole answer."""
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -137,6 +137,8 @@
         # Each request that it began to run; with the time, too.
         self.runs = []
         self.run_times = []
+        # Headers of the requests that it began to run, by request id.
+        self.headers = {}
         # Called with the path of each request that it begins to run; whether
         # the request ends the endpoint.
         self.is_fatal = lambda path: False
@@ -300,6 +302,7 @@
             return 503, headers, b""
         run = (identity, request.command, request.path, body)
         endpoint.runs.append(run)
+        endpoint.headers[identity] = dict(request.headers)
         endpoint.run_times.append((time.monotonic(), run))
         fatal = endpoint.is_fatal(request.path)
         time.sleep(endpoint.delay_s)
--- a/src/libtrefoilmill/version/route_table_test.cc
+++ b/src/libtrefoilmill/version/route_table_test.cc
@@ -32,6 +32,31 @@
 
 }  // namespace
 
+BOOST_AUTO_TEST_CASE(a_key_belongs_to_one_organisation) {
+  const auto create = [](std::vector<organisation> organisations) {
+    routing_config config;
+    config.organisations = std::move(organisations);
+    return route_table::Create(std::move(config));
+  };
+  const organisation mill{.id = organisation_id("mill"), .keys = {"a", "b"}};
+  const organisation barn{.id = organisation_id("barn"), .keys = {"c"}};
+  const auto table = create({mill, barn}).value();
+  BOOST_TEST(table->FindByKey("b")->id == mill.id);
+  BOOST_TEST(table->Find(barn.id)->keys == barn.keys);
+  BOOST_TEST(table->FindByKey("d") == nullptr);
+  BOOST_TEST(table->FindByKey("") == nullptr);
+  for (const organisation& wrong : std::initializer_list<organisation>{
+           {.id = organisation_id("mill"), .keys = {"x"}},
+           {.id = organisation_id(""), .keys = {"x"}},
+           {.id = organisation_id("shed"), .keys = {"secret", "secret"}},
+           {.id = organisation_id("shed"), .keys = {"a"}},
+           {.id = organisation_id("shed"), .keys = {""}}}) {
+    const auto created = create({mill, wrong});
+    BOOST_TEST_REQUIRE(created.has_error());
+    BOOST_TEST(created.error().detail.find("secret") == std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_path_wins) {
   const auto table =
       MakeTable({MakeRoute("all", "/"), MakeRoute("a", "/a/"),
