--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -43,7 +43,7 @@
   /// Quotas of organisations.
   organisation_quotas quotas{};
   /// Roll-outs of new versions of services' software.
-  rollout_table rollouts{};
+  rollout_table rollouts;
   /// The most recently assigned attempt id.
   std::uint64_t last_attempt_id = 0;
 };
