--- a/src/trefoilmillctl/command_line.cc
+++ b/src/trefoilmillctl/command_line.cc
@@ -61,6 +61,7 @@
     AddCallers();
     AddTimeline();
     AddExplain();
+    AddRollouts();
   }
 
   std::variant<parsed_command, exit_code> Parse(int argc,
@@ -343,6 +344,25 @@
                       "Log files; - reads standard input, the default.");
   }
 
+  void AddRollouts() {
+    auto rollouts = std::make_shared<rollouts_options>();
+    CLI::App* added = AddCommand(
+        "rollouts",
+        "Show the way of roll-outs and their reasons, from the logs of all "
+        "hosts.",
+        "Needs no daemon. Exit status 1 if no line tells of one.\n"
+        "Example: trefoilmillctl rollouts logs/*.jsonl --service shelf-3",
+        rollouts);
+    added->add_option_function<std::string>(
+        "--service",
+        [rollouts](const std::string& text) {
+          rollouts->service = service_id(text);
+        },
+        "Only the roll-outs of this service.");
+    added->add_option("FILE", rollouts->files,
+                      "Log files; - reads standard input, the default.");
+  }
+
   template <class id>
   static void AddId(CLI::App* to,
                     const std::string& name,
--- a/src/trefoilmillctl/commands.h
+++ b/src/trefoilmillctl/commands.h
@@ -49,6 +49,9 @@
 exit_code Run(const common_options& common,
               daemon_api& api,
               const explain_options& options);
+exit_code Run(const common_options& common,
+              daemon_api& api,
+              const rollouts_options& options);
 
 /// @name Shared between commands
 /// @{
--- a/src/trefoilmillctl/options.h
+++ b/src/trefoilmillctl/options.h
@@ -114,6 +114,13 @@
   std::vector<std::string> files = {"-"};
 };
 
+struct rollouts_options {
+  /// Only this service's; empty for all.
+  service_id service;
+  /// Log files; "-" reads standard input.
+  std::vector<std::string> files = {"-"};
+};
+
 using command = std::variant<validate_options,
                              render_options,
                              apply_options,
@@ -125,7 +132,8 @@
                              query_options,
                              cancel_options,
                              timeline_options,
-                             explain_options>;
+                             explain_options,
+                             rollouts_options>;
 
 }  // namespace trefoilmill
 
