--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -127,7 +127,12 @@
                        .strikes = {{.source = 1, .age = duration(5)}},
                        .cleared_age = duration(7),
                        .stored_in = store_era(2)}}},
-      quarantine_digest_message{.digest = 3, .is_reply = true}};
+      quarantine_digest_message{.digest = 3, .is_reply = true},
+      rollout_report_message{},
+      rollout_stage_message{
+          .news = {{.order = {}, .stage = rollout_stage::kRamp}}},
+      quota_request_message{},
+      quota_grant_message{}};
   BOOST_TEST(messages.size() == std::variant_size_v<peer_message>);
   for (const auto& message : messages) {
     const auto frame = DecodePeerFrame(EncodePeerFrame({.message = message}));
@@ -233,4 +238,53 @@
   BOOST_TEST(!got.reports[1].per_thousand_seconds.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(reports_of_rollouts_round_trip) {
+  const rollout_order order{.service = service_id("shelf"),
+                            .target = software_version("v2"),
+                            .length = std::chrono::seconds(12)};
+  const rollout_report_message sent{
+      .reports = {{.order = order,
+                   .process = 77,
+                   .sequence = 5,
+                   .stage = rollout_stage::kCutover,
+                   .old_idle = true,
+                   .sends = 900,
+                   .new_sends = 30,
+                   .totals = {{.route = route_id("r"),
+                               .endpoint = endpoint_id("i-7"),
+                               .answers = 12,
+                               .failures = 3,
+                               .failing_milli = -400,
+                               .slow_milli = 1200}}}}};
+  const auto frame = DecodePeerFrame(EncodePeerFrame({.message = sent}));
+  BOOST_REQUIRE(frame.has_value());
+  const auto& got = std::get<rollout_report_message>(frame.value().message);
+  BOOST_REQUIRE(got.reports.size() == 1U);
+  const rollout_report& report = got.reports.front();
+  BOOST_TEST((report.order == order));
+  BOOST_TEST(report.process == 77U);
+  BOOST_TEST(report.sequence == 5U);
+  BOOST_TEST((report.stage == rollout_stage::kCutover));
+  BOOST_TEST(report.old_idle);
+  BOOST_TEST(report.sends == 900);
+  BOOST_TEST(report.new_sends == 30);
+  BOOST_REQUIRE(report.totals.size() == 1U);
+  BOOST_TEST(report.totals.front().failures == 3);
+  BOOST_TEST(report.totals.front().failing_milli == -400);
+  BOOST_TEST(report.totals.front().slow_milli == 1200);
+}
+
+BOOST_AUTO_TEST_CASE(permits_round_trip) {
+  const quota_request_message sent{
+      .wanted = {{.organisation = organisation_id("mill"), .milli = 2000},
+                 {.organisation = organisation_id("barn"), .milli = -1000}}};
+  const auto frame = DecodePeerFrame(EncodePeerFrame({.message = sent}));
+  BOOST_REQUIRE(frame.has_value());
+  const auto& got = std::get<quota_request_message>(frame.value().message);
+  BOOST_REQUIRE(got.wanted.size() == 2U);
+  BOOST_TEST(got.wanted[0].organisation == organisation_id("mill"));
+  BOOST_TEST(got.wanted[0].milli == 2000);
+  BOOST_TEST(got.wanted[1].milli == -1000);
+}
+
 }  // namespace trefoilmill
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -209,6 +209,9 @@
                           const http_responder& responder) {
   const time_point now = loop_.Now();
   if (shared_state_.selector.reach().is_cut_off()) {
+    if (routed.holds_permit) {
+      shared_state_.quotas.Return(now, routed.owner_id);
+    }
     Refuse(responder, routed.id, reason_code::kNoReplica, kCutOffRetryAfter);
     return;
   }
