--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -133,7 +133,7 @@
   }
   std::vector<endpoint_id> excluded = s.tried_endpoints;
   shared.rollouts.Exclude(shared.registry, s.service, choice, excluded);
-  const auto selection = select(excluded);
+  auto selection = select(excluded);
   const auto alternative = rollout_table::Alternative(
       choice,
       std::holds_alternative<endpoint_selector::no_capacity>(selection));
