Endpoints of a withdrawn order do not delay the next roll-out

Cause: found by a test of orders that replace others. The endpoints of the version before counted as slots that the new version has to match, so that it stayed in the stage waiting and was rolled back at its deadline.

--- a/src/include/trefoilmill/process/rollout_table.h
+++ b/src/include/trefoilmill/process/rollout_table.h
@@ -171,10 +171,10 @@
       time_point now,
       const version_state& version,
       const std::map<software_version, version_state>& versions) const;
-  static rollout_trial::endpoint_view ViewOf(time_point now,
-                                             const active& rollout,
-                                             const endpoint_registry& registry,
-                                             const in_flight_count& in_flight);
+  rollout_trial::endpoint_view ViewOf(time_point now,
+                                      const active& rollout,
+                                      const endpoint_registry& registry,
+                                      const in_flight_count& in_flight) const;
 
   exposure_limit limit_;
   std::mt19937_64 random_;
--- a/src/libtrefoilmill/process/rollout_table.cc
+++ b/src/libtrefoilmill/process/rollout_table.cc
@@ -180,7 +180,7 @@
     time_point now,
     const active& rollout,
     const endpoint_registry& registry,
-    const in_flight_count& in_flight) {
+    const in_flight_count& in_flight) const {
   rollout_trial::endpoint_view view;
   const rollout_order& order = rollout.trial.order();
   for (const endpoint_id& id : registry.EndpointsOf(order.service)) {
@@ -188,7 +188,10 @@
     const bool is_usable = !entry.record.draining && !entry.address_reused;
     if (entry.record.software != order.target) {
       view.old_in_flight += in_flight(id);
-      view.old_slots += is_usable ? entry.record.slots : 0;
+      // Those of an order that was withdrawn replace nothing.
+      const bool is_barred =
+          versions_.at(order.service).at(entry.record.software).is_barred;
+      view.old_slots += is_usable && !is_barred ? entry.record.slots : 0;
       continue;
     }
     ++view.new_endpoints;
