--- a/src/include/trefoilmill/process/version_evidence.h
+++ b/src/include/trefoilmill/process/version_evidence.h
@@ -6,11 +6,12 @@
 /// if the version is bad, over that if it is not worse than the other version
 /// by more than a margin. The rates of the other version are those of its
 /// recent answers on the same route, so that a trouble which all endpoints have
-/// speaks against neither. The ratio has an expected value of at most 1 for a
-/// good version, whatever the number of answers. The probability that its
-/// product, begun anew whenever it falls below 1, reaches e^t is therefore at
-/// most e^-t for each time that it is begun (Ville's inequality), and one can
-/// look at it as often as one likes.
+/// speaks against neither. If answers were independent and the old version's
+/// rates known, the ratio would have an expected value of at most 1 for a good
+/// version, and the probability that its product, begun anew whenever it falls
+/// below 1, reaches e^t would be at most e^-t for each time that it is begun
+/// (Ville's inequality), however often one looks. The rates are estimates; the
+/// margin has to cover their error.
 ///
 /// Only requests that do not overlap at an endpoint are counted: all requests
 /// that wait while it pauses tell the same.
--- a/src/libtrefoilmill/process/version_evidence.cc
+++ b/src/libtrefoilmill/process/version_evidence.cc
@@ -9,9 +9,8 @@
 
 /// An answer is slow if it takes this many times as long as expected.
 constexpr double kSlowRatio = 3;
-/// Log-likelihood ratio that suffices to reject a version: a good one reaches
-/// it with a probability of at most 1 in 10,000 for each time that the sum
-/// begins anew.
+/// Log-likelihood ratio that suffices to reject a version, that of 1 in 10,000;
+/// see the header for what that means.
 constexpr double kSufficientEvidence = 9.2;
 constexpr double kMilli = 1000;
 
