A stopping host answers what it passed on before a late end

By reading: request_forwarder::AnswerBy() answers what is due by a timer, which a process that is past its end does not wait for; planned_stop then finds nothing unwritten and ends. A request is passed on when its host takes itself for cut off, as it may beside load.

--- a/scripts/lib/soak_callers.py
+++ b/scripts/lib/soak_callers.py
@@ -3,8 +3,10 @@
 says. Every attempt is recorded as one JSON line."""
 
 import asyncio
+import collections
 import dataclasses
 import http.client
+import itertools
 import json
 import multiprocessing
 import random
@@ -20,6 +22,9 @@
 READ_BYTES = 65536
 # A caller that gives up does so within this time.
 GIVES_UP_WITHIN_S = 0.4
+# How often the callers' process notes that it runs, and how long it keeps that.
+BEAT_S = 0.01
+KEPT_BEATS = 1000
 # Longer answers are recorded by their size only.
 RECORDED_BYTES = 512
 
@@ -50,6 +55,9 @@
     # The answer's size in bytes, and its content in hexadecimal if it is short.
     size: int = 0
     body: str = ""
+    # The longest time in it in which the callers' process did not look at its
+    # sockets: it may have sent and noticed things that much late.
+    stalled: float = 0.0
     # "answer", "not_connected", "closed" (no or no whole answer), "deadline",
     # "gave_up" (before the deadline).
     end: str = "closed"
@@ -151,8 +159,22 @@
 
     async def _call(self):
         with open(self._record_file, "a", buffering=1) as self._records:
+            self._beats = collections.deque(maxlen=KEPT_BEATS)
+            beating = asyncio.create_task(self._beat())
             await asyncio.gather(*(self._caller(n)
                                    for n in range(self._count)))
+            beating.cancel()
+
+    async def _beat(self):
+        while True:
+            self._beats.append(time.monotonic())
+            await asyncio.sleep(BEAT_S)
+
+    def _longest_stall(self, since):
+        """Between two beats, the later of which was after `since`."""
+        beats = [*self._beats, time.monotonic()]
+        return max(later - earlier for earlier, later in itertools.pairwise(beats)
+                   if later >= since)
 
     async def _caller(self, number):
         rng = random.Random(f"{self._seed}/{number}")
@@ -194,4 +216,6 @@
         except (aiohttp.ClientError, OSError):
             attempt.end = "closed"
         attempt.ended = time.monotonic()
+        if attempt.end == "closed":
+            attempt.stalled = self._longest_stall(attempt.began)
         return attempt
--- a/scripts/lib/soak_checks.py
+++ b/scripts/lib/soak_checks.py
@@ -87,7 +87,8 @@
     ended = attempt["ended"] - stop.told
     text = (f"{attempt['id']} {attempt['kind']} at {attempt['host']}: sent "
             f"{sent:+.3f} s, closed {ended:+.3f} s from SIGTERM, process ended "
-            f"{stop.ended - stop.told:+.3f} s, status {attempt['status']}")
+            f"{stop.ended - stop.told:+.3f} s, status {attempt['status']}, "
+            f"callers stalled for {attempt.get('stalled', 0):.3f} s")
     for arrival in arrived:
         text += (f"; {arrival['endpoint']} {arrival['arrived'] - stop.told:+.3f}"
                  f"..{arrival['ended'] - stop.told:+.3f} {arrival['result']}")
--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -120,6 +120,9 @@
   /// Number of connections with response bytes that are not written to the
   /// socket yet.
   std::size_t unsent_connections() const;
+  /// Writes as much of the responses as the sockets take now, without waiting
+  /// for the next turn of the loop. For a process that is about to end.
+  void FlushResponses();
 
   /// Sets a filter to call for each new connection; if it returns false, the
   /// connection is closed at once.
--- a/src/libtmnet/http_server_stop_test.cc
+++ b/src/libtmnet/http_server_stop_test.cc
@@ -2,6 +2,7 @@
 /// that is handled gets its whole response.
 #define BOOST_TEST_MODULE http_server_stop
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,26 @@
   BOOST_TEST(handled == 1);
 }
 
+// A process whose last turn of the loop comes late would end with its answers
+// in the buffer.
+BOOST_FIXTURE_TEST_CASE(flushed_responses_need_no_further_turn, fixture) {
+  std::optional<http_responder> kept;
+  auto listening = http_server::Listen(
+      *loop, {kTestIp, 0}, {},
+      [&](const http_request&, const http_responder& responder) {
+        kept = responder;
+      });
+  server = std::move(listening).value();
+  socket_client client(server->port());
+  client.Send(kRequest);
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return kept.has_value(); }));
+  kept->Send(response);
+  BOOST_TEST(server->unsent_connections() == 1U);
+  server->FlushResponses();
+  BOOST_TEST(server->unsent_connections() == 0U);
+  BOOST_TEST(client.Receive().find("whole") != std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_request_that_meets_the_close_is_not_handled,
                         fixture) {
   socket_client client(server->port());
--- a/src/trefoilmill_entry/planned_stop.cc
+++ b/src/trefoilmill_entry/planned_stop.cc
@@ -44,6 +44,8 @@
     server->CloseIdleConnections(now);
   }
   if (MayEnd(now)) {
+    // The answers of a late last turn are not written yet.
+    std::ranges::for_each(servers_, &http_server::FlushResponses);
     on_end_();
     return;
   }
--- a/src/trefoilmill_entry/request_forwarder.cc
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -134,9 +134,18 @@
 }
 
 void request_forwarder::AnswerBy(time_point answer_by) {
+  std::vector<number> due;
   for (auto& [n, active] : active_) {
     active.request.answer_by = std::min(active.request.answer_by, answer_by);
-    ScheduleDeadline(n, active);
+    if (active.request.answer_by <= loop_.Now()) {
+      due.push_back(n);
+    } else {
+      ScheduleDeadline(n, active);
+    }
+  }
+  // The process may end before the loop runs another timer.
+  for (const number n : due) {
+    Fail(n, reason_code::kDeadlineExceeded);
   }
 }
 
--- a/src/trefoilmill_entry/request_forwarder.h
+++ b/src/trefoilmill_entry/request_forwarder.h
@@ -87,7 +87,8 @@
   const forwarding_peers& peers() const { return peers_; }
   /// Sends the request to a host that takes it, and its answer to the caller.
   void Forward(forwarded_request request);
-  /// The process stops: requests in progress are answered by `answer_by`.
+  /// The process stops: requests in progress are answered by `answer_by`, those
+  /// for which it has passed before this returns.
   void AnswerBy(time_point answer_by);
   /// Number of requests that have no answer yet.
   std::size_t unanswered() const { return active_.size(); }
--- a/src/trefoilmill_entry/request_forwarder_test.cc
+++ b/src/trefoilmill_entry/request_forwarder_test.cc
@@ -25,6 +25,9 @@
   int run_here = 0;
   verdict so_far = verdict::kNotRun;
   http_request last_run_here;
+  /// Requests that other hosts do not answer.
+  std::vector<http_responder> kept;
+  std::size_t unanswered = 0;
   request_forwarder forwarder{*loop, kTestIp, process, std::mt19937_64(1),
                               [this](const forwarded_request& not_taken) {
                                 ++run_here;
@@ -178,6 +181,18 @@
   BOOST_TEST(run_here == 0);
 }
 
+// A stopping process whose last turn of the loop comes late would end without
+// an answer to what it passed on.
+BOOST_AUTO_TEST_CASE(answers_at_once_what_is_due_when_the_process_stops) {
+  AddHost("b", [this](const http_request&, const http_responder& responder) {
+    kept.push_back(responder);
+    forwarder.AnswerBy(loop->Now());
+    unanswered = forwarder.unanswered();
+  });
+  BOOST_TEST(Ask().response->status == 504);
+  BOOST_TEST(unanswered == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace trefoilmill::entry
