Fair shares: a burst is paid for by the organisation that causes it

When endpoints cannot run all that is asked, requests were refused whatever their organisation. Now what can be run is divided max-min over organisations, weighted by quota, urgent requests first within one, in units of endpoint time; hosts tell each other the demand that they see while endpoints are short. Deployments without organisations are admitted as before.

--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -13,6 +13,7 @@
 #include "trefoilmill/deployment.h"
 #include "trefoilmill/ids.h"
 #include "trefoilmill/process/endpoint_selector.h"
+#include "trefoilmill/process/fair_shares.h"
 #include "trefoilmill/process/organisation_quotas.h"
 #include "trefoilmill/process/request_limits.h"
 #include "trefoilmill/process/request_quarantine.h"
@@ -261,6 +262,14 @@
 };
 /// @}
 
+/// What organisations ask of the sender or, with a zone, of all hosts of that
+/// zone together.
+struct organisation_demand_message {
+  /// Empty in a host's own report.
+  zone_id summed_zone;
+  std::vector<organisation_demand> demands;
+};
+
 using peer_message = std::variant<hello_message,
                                   ping_message,
                                   ack_message,
@@ -281,7 +290,8 @@
                                   rollout_report_message,
                                   rollout_stage_message,
                                   quota_request_message,
-                                  quota_grant_message>;
+                                  quota_grant_message,
+                                  organisation_demand_message>;
 
 }  // namespace trefoilmill
 
--- a/src/include/trefoilmill/process/capacity_queue.h
+++ b/src/include/trefoilmill/process/capacity_queue.h
@@ -31,12 +31,15 @@
     request_priority priority;
     /// Latest time at which the request can be answered within its objective.
     time_point objective_deadline;
+    /// Its organisation asks for more than its share of what endpoints run.
+    bool over_share = false;
   };
 
   void Push(const service_id& service, const waiter& added);
   /// Removes and returns the next waiter of the service: of those whose
-  /// objective can still be met the most urgent, else of the others; among
-  /// equals the one that waited longest.
+  /// objective can still be met those of organisations within their share, then
+  /// the most urgent, else of the others; among equals the one that waited
+  /// longest.
   std::optional<waiter> Pop(time_point now, const service_id& service);
   /// Removes all waiters of a request.
   void Remove(request_number request);
--- a/src/include/trefoilmill/process/deadline_admission.h
+++ b/src/include/trefoilmill/process/deadline_admission.h
@@ -45,6 +45,12 @@
   /// Returns nullopt to let the request in, else the time after which its
   /// caller may return.
   std::optional<duration> RetryAfterIfRefused(const prospect& expected);
+  /// The same if this fraction of requests is let in.
+  std::optional<duration> RetryAfterIfRefused(double admitted_fraction);
+
+  /// Fraction of the requests with such a prospect that endpoints can run in
+  /// time, whatever their priority; 1 if too few shards have a usable endpoint.
+  static double RunnableFraction(const prospect& expected);
 
   /// Whether the expected latency leaves enough of the time for all requests to
   /// be let in.
--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -13,6 +13,7 @@
 #include "trefoilmill/process/endpoint_registry.h"
 #include "trefoilmill/process/endpoint_selector.h"
 #include "trefoilmill/process/extra_send_budget.h"
+#include "trefoilmill/process/fair_shares.h"
 #include "trefoilmill/process/latency_histogram.h"
 #include "trefoilmill/process/organisation_quotas.h"
 #include "trefoilmill/process/request_quarantine.h"
@@ -42,6 +43,8 @@
   request_quarantine quarantine{};
   /// Quotas of organisations.
   organisation_quotas quotas{};
+  /// Shares of organisations in what endpoints can run.
+  fair_shares shares{};
   /// Roll-outs of new versions of services' software.
   rollout_table rollouts;
   /// The most recently assigned attempt id.
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -86,10 +86,11 @@
   kRequestLimit,  ///< Other endpoints stated request limits, which are used up.
   kAttemptLimit,  ///< As many endpoints were tried as the route allows.
   kEndpointsEnded,  ///< Endpoints seem to end under the request.
+  kOverShare,       ///< Its organisation asks for more than its share.
 };
 
 /// Returns "none", "budget", "no_connection", "no_replica", "request_limit",
-/// "attempt_limit" or "endpoints_ended".
+/// "attempt_limit", "endpoints_ended" or "over_share".
 std::string_view ToString(resend_obstacle obstacle);
 
 /// A shard that an answer lacks or had to wait for.
@@ -126,6 +127,8 @@
     service_id service;
     /// Latest time to answer within the objective.
     time_point objective_deadline;
+    /// The request's organisation asks for more than its share.
+    bool over_share = false;
   };
   /// Answer the caller. No further action follows; outcomes of attempts in
   /// flight must still be reported.
@@ -169,7 +172,7 @@
               time_point arrived,
               time_point deadline,
               std::optional<request_identity> identity = std::nullopt,
-              int organisation_priority = 0);
+              request_owner owner = {});
 
   /// Sends every shard's first attempt, or refuses the request if it cannot be
   /// answered in time or with enough shards.
@@ -244,6 +247,14 @@
   deadline_admission::prospect Prospect(time_point now,
                                         const shared_request_state& shared,
                                         duration time_left) const;
+  /// Fraction of requests like this one to let in, of what its organisation
+  /// asks.
+  double AdmittedFraction(time_point now,
+                          shared_request_state& shared,
+                          const deadline_admission::prospect& expected) const;
+  /// Whether the request's organisation asks for more than its share while
+  /// endpoints are short.
+  bool IsOverShare(time_point now, shared_request_state& shared) const;
   /// Whether the caller was refused before: it has less time left than other
   /// callers of the route, whose longest wait is recorded here.
   bool HasReturned(time_point now, shared_request_state& shared) const;
@@ -391,6 +402,7 @@
   std::shared_ptr<const route_table> table_;
   const route* route_;
   std::optional<request_identity> identity_;
+  organisation_id owner_;
   request_priority priority_;
   /// Endpoints have ended under earlier requests like this one.
   bool suspect_ = false;
--- a/src/include/trefoilmill/version/organisation.h
+++ b/src/include/trefoilmill/version/organisation.h
@@ -31,6 +31,14 @@
   friend bool operator==(const organisation&, const organisation&) = default;
 };
 
+/// Whose request it is.
+struct request_owner {
+  /// Empty if the request belongs to no organisation.
+  organisation_id id;
+  /// Priority of the organisation.
+  int priority = 0;
+};
+
 /// Urgency of a request: the organisation's first, then the route's.
 struct request_priority {
   int organisation = 0;
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -302,6 +302,10 @@
     fields(r.wanted);
   } else if constexpr (kIs<quota_grant_message, record>) {
     fields(r.lent);
+  } else if constexpr (kIs<organisation_demand, record>) {
+    fields(r.organisation, r.urgent, r.other);
+  } else if constexpr (kIs<organisation_demand_message, record>) {
+    fields(r.summed_zone, r.demands);
   } else if constexpr (kIs<hedge_started_message, record>) {
     fields(r.request, r.attempt);
   } else {
--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -132,7 +132,8 @@
       rollout_stage_message{
           .news = {{.order = {}, .stage = rollout_stage::kRamp}}},
       quota_request_message{},
-      quota_grant_message{}};
+      quota_grant_message{},
+      organisation_demand_message{}};
   BOOST_TEST(messages.size() == std::variant_size_v<peer_message>);
   for (const auto& message : messages) {
     const auto frame = DecodePeerFrame(EncodePeerFrame({.message = message}));
@@ -287,4 +288,18 @@
   BOOST_TEST(got.wanted[1].milli == -1000);
 }
 
+BOOST_AUTO_TEST_CASE(demand_of_organisations_round_trips) {
+  const organisation_demand_message sent{
+      .summed_zone = zone_id("perth"),
+      .demands = {{.organisation = organisation_id("mill"),
+                   .urgent = 1200,
+                   .other = 34'000}}};
+  const auto frame = DecodePeerFrame(EncodePeerFrame({.message = sent}));
+  BOOST_REQUIRE(frame.has_value());
+  const auto& got =
+      std::get<organisation_demand_message>(frame.value().message);
+  BOOST_TEST(got.summed_zone == sent.summed_zone);
+  BOOST_TEST((got.demands == sent.demands));
+}
+
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/process/capacity_queue.cc
+++ b/src/libtrefoilmill/process/capacity_queue.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <tuple>
 #include <utility>
 
 namespace trefoilmill {
@@ -19,7 +20,7 @@
   }
   std::list<waiter>& queue = found->second;
   const auto rank = [now](const waiter& w) {
-    return std::pair(w.objective_deadline <= now, w.priority);
+    return std::tuple(w.objective_deadline <= now, w.over_share, w.priority);
   };
   const auto next = std::ranges::min_element(queue, {}, rank);
   const waiter popped = *next;
--- a/src/libtrefoilmill/process/capacity_queue_test.cc
+++ b/src/libtrefoilmill/process/capacity_queue_test.cc
@@ -46,6 +46,17 @@
   BOOST_TEST(Pop() == 1U);
 }
 
+// The burst of one organisation must not hold up the others' requests.
+BOOST_FIXTURE_TEST_CASE(work_beyond_a_share_goes_last, fixture) {
+  queue.Push(test_service, {.request = request_number(1),
+                            .priority = {.route = 0},
+                            .objective_deadline = now + milliseconds(50),
+                            .over_share = true});
+  Push(2, 1, milliseconds(50));
+  BOOST_TEST(Pop() == 2U);
+  BOOST_TEST(Pop() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_request_that_ended_waits_no_more, fixture) {
   Push(1, 1, milliseconds(50));
   Push(2, 1, milliseconds(50));
--- a/src/libtrefoilmill/process/deadline_admission.cc
+++ b/src/libtrefoilmill/process/deadline_admission.cc
@@ -57,18 +57,28 @@
   return *last;
 }
 
-std::optional<duration> deadline_admission::RetryAfterIfRefused(
-    const prospect& expected) {
+double deadline_admission::RunnableFraction(const prospect& expected) {
   const auto latency = LatencyForCoverage(expected);
-  if (!latency.has_value() || expected.priority.IsMostUrgent()) {
-    return std::nullopt;
+  if (!latency.has_value()) {
+    return 1;
   }
   const double ratio = SafetyRatio(*latency, expected.time_left);
   const double exponent =
       expected.returned ? kReturnedExponent : kAdmissionExponent;
-  const double admitted =
-      std::clamp(std::pow(std::max(ratio, 0.0), exponent), kMinAdmitted, 1.0);
-  if (std::uniform_real_distribution<double>(0, 1)(random_) < admitted) {
+  return std::clamp(std::pow(std::max(ratio, 0.0), exponent), kMinAdmitted,
+                    1.0);
+}
+
+std::optional<duration> deadline_admission::RetryAfterIfRefused(
+    const prospect& expected) {
+  return RetryAfterIfRefused(
+      expected.priority.IsMostUrgent() ? 1 : RunnableFraction(expected));
+}
+
+std::optional<duration> deadline_admission::RetryAfterIfRefused(
+    double admitted_fraction) {
+  if (std::uniform_real_distribution<double>(0, 1)(random_) <
+      admitted_fraction) {
     return std::nullopt;
   }
   std::uniform_int_distribution<duration::rep> delay(kMinReturn.count(),
--- a/src/libtrefoilmill/request/endpoint_scenario_test.h
+++ b/src/libtrefoilmill/request/endpoint_scenario_test.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <optional>
+#include <vector>
 
 #include "trefoilmill/request/request_run.h"
 
@@ -31,9 +32,16 @@
   std::optional<duration> pause;
 };
 
+/// Who asks, and which host if not any.
+struct asking_caller {
+  organisation_id organisation;
+  std::optional<std::size_t> host;
+};
+
 /// A host answered one attempt of a caller.
 struct answered_attempt {
   std::size_t host = 0;
+  organisation_id organisation;
   request_kind kind = request_kind::kSweep;
   /// Why the caller's first attempt was refused, if this is the second.
   std::optional<reason_code> refused_before;
@@ -69,6 +77,11 @@
   /// Fractions of the requests; the others are sweeps.
   double whole_share = 0;
   double lookup_share = 0;
+  /// Organisations that callers belong to, if any.
+  std::vector<organisation> organisations;
+  /// The next caller, by a number drawn from 0 to 1.
+  std::function<asking_caller(double drawn, time_point now)> caller =
+      [](double, time_point) { return asking_caller(); };
   /// The pause that an endpoint asks for at a time in place of taking a
   /// sub-request; nullopt if it takes it.
   std::function<std::optional<duration>(int shard, int replica, time_point now)>
--- a/src/libtrefoilmill/request/endpoint_simulation_test.h
+++ b/src/libtrefoilmill/request/endpoint_simulation_test.h
@@ -51,6 +51,7 @@
         hosts_.back()->shared.selector.SetIdleConnections(
             id, scenario_.connections_per_host);
       }
+      hosts_.back()->shared.shares.SetWeights(scenario_.organisations);
       hosts_.back()->shared.selector.reach().SetKnownEndpoints(
           endpoints_.size());
     }
@@ -106,6 +107,7 @@
   struct active_request {
     std::unique_ptr<request_run> run;
     std::map<attempt_id, endpoint_id> attempts;
+    asking_caller caller;
     request_kind kind = request_kind::kSweep;
     std::size_t second = 0;
     time_point first_asked;
@@ -183,6 +185,7 @@
   }
   void BuildTable() {
     routing_config config;
+    config.organisations = scenario_.organisations;
     config.routes = {RouteOf(request_kind::kSweep),
                      RouteOf(request_kind::kWhole),
                      RouteOf(request_kind::kLookup)};
@@ -215,7 +218,11 @@
       const auto second =
           static_cast<std::size_t>((now_ - start_) / seconds(1));
       ++results_[second].asked;
-      Ask(DrawKind(), second, now_, /*refused_before=*/std::nullopt);
+      const request_kind kind = DrawKind();
+      const asking_caller caller = scenario_.organisations.empty()
+                                       ? asking_caller()
+                                       : scenario_.caller(Uniform(), now_);
+      Ask(caller, kind, second, now_, /*refused_before=*/std::nullopt);
       ScheduleArrival(end);
     });
   }
@@ -223,6 +230,7 @@
   void ScheduleReports(time_point end) {
     At(now_ + milliseconds(250), [this, end] {
       ExchangeLimits();
+      ExchangeDemands();
       for (const auto& from : hosts_) {
         for (const auto& report :
              from->shared.selector.UnhealthyEndpoints(now_)) {
@@ -239,6 +247,18 @@
     });
   }
 
+  void ExchangeDemands() {
+    for (std::size_t number = 0; number < hosts_.size(); ++number) {
+      const fair_shares& shares = hosts_[number]->shared.shares;
+      const auto demands = shares.OwnDemands(now_, /*limit=*/24);
+      for (const auto& to : hosts_) {
+        if (shares.IsShort(now_) && to != hosts_[number]) {
+          to->shared.shares.OnReport(
+              now_, host_id("h" + std::to_string(number)), demands);
+        }
+      }
+    }
+  }
   void ExchangeLimits() {
     for (std::size_t number = 0; number < hosts_.size(); ++number) {
       request_limits& limits = hosts_[number]->shared.selector.limits();
@@ -255,11 +275,12 @@
     }
   }
 
-  void Ask(request_kind kind,
+  void Ask(const asking_caller& caller,
+           request_kind kind,
            std::size_t second,
            time_point first_asked,
            std::optional<reason_code> refused_before) {
-    const std::size_t number = random_() % hosts_.size();
+    const std::size_t number = caller.host.value_or(random_() % hosts_.size());
     host& asked = *hosts_[number];
     if (asked.shared.selector.reach().is_cut_off()) {
       scenario_.on_cut_off(now_);
@@ -268,8 +289,10 @@
     const route* r = table_->Match("h", "/" + NameOf(kind) + "/1");
     active_request& active = asked.requests[id];
     active = {
-        .run = std::make_unique<request_run>(table_, *r, ServicesOf(*r), now_,
-                                             first_asked + scenario_.timeout),
+        .run = std::make_unique<request_run>(
+            table_, *r, ServicesOf(*r), now_, first_asked + scenario_.timeout,
+            /*identity=*/std::nullopt, request_owner{caller.organisation}),
+        .caller = caller,
         .kind = kind,
         .second = second,
         .first_asked = first_asked,
@@ -306,7 +329,8 @@
         action.service, {.request = request_number(id),
                          .shard = action.shard,
                          .priority = {.route = 1},
-                         .objective_deadline = action.objective_deadline});
+                         .objective_deadline = action.objective_deadline,
+                         .over_share = action.over_share});
   }
   void ApplyOne(std::size_t number,
                 std::uint64_t id,
@@ -328,6 +352,7 @@
     const active_request& active = hosts_[number]->requests[id];
     hosts_[number]->shared.waiting.Remove(request_number(id));
     scenario_.on_answer({.host = number,
+                         .organisation = active.caller.organisation,
                          .kind = active.kind,
                          .refused_before = active.refused_before,
                          .asked = active.asked,
@@ -364,9 +389,9 @@
       return;
     }
     At(now_ + refusal.retry_after,
-       [this, kind = active.kind, second = active.second,
-        first = active.first_asked,
-        reason = refusal.reason] { Ask(kind, second, first, reason); });
+       [this, caller = active.caller, kind = active.kind,
+        second = active.second, first = active.first_asked,
+        reason = refusal.reason] { Ask(caller, kind, second, first, reason); });
   }
 
   void Arrive(const endpoint_id& id, const job& arrived) {
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -60,6 +60,8 @@
       return "attempt_limit";
     case resend_obstacle::kEndpointsEnded:
       return "endpoints_ended";
+    case resend_obstacle::kOverShare:
+      return "over_share";
   }
   return "unknown";
 }
@@ -70,11 +72,12 @@
                          time_point arrived,
                          time_point deadline,
                          std::optional<request_identity> identity,
-                         int organisation_priority)
+                         request_owner owner)
     : table_(std::move(table)),
       route_(&r),
       identity_(identity),
-      priority_{.organisation = organisation_priority, .route = r.priority},
+      owner_(std::move(owner.id)),
+      priority_{.organisation = owner.priority, .route = r.priority},
       arrived_(arrived),
       answer_deadline_(
           std::min(deadline - kAnswerDeliveryMargin, arrived + r.timeout)),
@@ -107,7 +110,8 @@
     s.awaiting_capacity = true;
     out.emplace_back(await_capacity{.shard = index,
                                     .service = s.service,
-                                    .objective_deadline = objective_deadline_});
+                                    .objective_deadline = objective_deadline_,
+                                    .over_share = IsOverShare(now, shared)});
     return;
   }
   FailShard(now, shared, s, ObstacleOf(selection));
--- a/src/libtrefoilmill/request/request_run_hedge.cc
+++ b/src/libtrefoilmill/request/request_run_hedge.cc
@@ -81,6 +81,10 @@
   }
   s.next_hedge_at = now + std::max(kMinHedgeRetryDelay,
                                    HedgeDelay(shared) / kHedgeRetryDivisor);
+  if (IsOverShare(now, shared)) {
+    s.obstacle = resend_obstacle::kOverShare;
+    return;
+  }
   // If the answer needs this shard, a slow endpoint is better than none.
   const auto purpose = NeedsAllRemainingShards(now)
                            ? endpoint_selector::purpose::kFirst
--- a/src/libtrefoilmill/request/request_run_start.cc
+++ b/src/libtrefoilmill/request/request_run_start.cc
@@ -47,11 +47,13 @@
   deadline_admission::prospect prospect =
       Prospect(now, shared, objective_deadline_ - now);
   prospect.returned = HasReturned(now, shared);
-  const auto retry_after = shared.admission.RetryAfterIfRefused(prospect);
+  const auto retry_after = shared.admission.RetryAfterIfRefused(
+      AdmittedFraction(now, shared, prospect));
   const time_point defer_until =
       std::min(now + kMaxDeferralObjectives * route_->objective,
                answer_deadline_ - route_->objective);
-  if (retry_after.has_value() && prospect.returned && defer_until > now) {
+  if (retry_after.has_value() && prospect.returned && defer_until > now &&
+      !IsOverShare(now, shared)) {
     deferred_until_ = defer_until;
     return ContinueDeferred(now, shared);
   }
@@ -64,6 +66,33 @@
   return SendAll(now, shared);
 }
 
+double request_run::AdmittedFraction(
+    time_point now,
+    shared_request_state& shared,
+    const deadline_admission::prospect& expected) const {
+  const bool is_urgent = priority_.IsMostUrgent();
+  const double runnable = deadline_admission::RunnableFraction(expected);
+  if (!table_->has_organisations()) {
+    return is_urgent ? 1 : runnable;
+  }
+  const auto shards = static_cast<duration::rep>(shards_.size());
+  shared.shares.OnRequest(now, owner_, is_urgent,
+                          shards * ExpectedLatency(shared, *route_));
+  if (is_urgent) {
+    // The objectives of urgent routes may be too short to tell whether
+    // endpoints are short.
+    return shared.shares.AdmittedFraction(now, owner_, is_urgent,
+                                          shared.shares.RunnableFraction(now));
+  }
+  shared.shares.OnRunnableFraction(now, runnable);
+  return shared.shares.AdmittedFraction(now, owner_, is_urgent, runnable);
+}
+
+bool request_run::IsOverShare(time_point now,
+                              shared_request_state& shared) const {
+  return table_->has_organisations() && shared.shares.IsOverShare(now, owner_);
+}
+
 bool request_run::StopsTooSoon(time_point now,
                                const shared_request_state& shared) const {
   if (!limited_by_stop_) {
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -113,6 +113,7 @@
       config.callers.idle_timeout * kIdleTimeoutFactor);
   requests_->SetRouteTable(route_table_);
   peers_->quotas().SetRouteTable(route_table_);
+  shared_state_.shares.SetWeights(config.organisations);
   hosts_changed_ = true;
   ApplyHostChanges();
   UpdateConnectionLimits();
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -53,6 +53,8 @@
   created->quotas_ =
       std::make_unique<quota_sync>(loop, shared_state, *created->datagrams_,
                                    std::move(on_event.on_permits_lent));
+  created->demands_ = std::make_unique<demand_sync>(
+      loop, shared_state, *created->fleet_, *created->datagrams_);
   created->rollouts_ = std::make_unique<rollout_sync>(
       loop, shared_state, *created->fleet_, *created->datagrams_, store,
       process_telemetry, std::mt19937_64(random()));
@@ -102,6 +104,7 @@
 void peer_gossip::RunHousekeeping() {
   quarantine_->RunHousekeeping();
   quotas_->RunHousekeeping();
+  demands_->RunHousekeeping();
   rollouts_->RunHousekeeping();
 }
 
@@ -173,6 +176,9 @@
   void operator()(const quota_grant_message& grant) const {
     gossip.quotas_->OnGrant(from, grant);
   }
+  void operator()(const organisation_demand_message& report) const {
+    gossip.demands_->OnReport(from, report);
+  }
   void operator()(const rollout_report_message& reports) const {
     gossip.rollouts_->OnReports(from, reports);
   }
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -8,6 +8,7 @@
 /// * trouble_reports: endpoints that are slow, failing or leaving;
 /// * quarantine_sync: requests under which endpoints have ended;
 /// * quota_sync: permits of organisations' quotas;
+/// * demand_sync: what organisations ask, while endpoints are short;
 /// * rollout_sync: roll-outs of new versions of services' software.
 #ifndef TREFOILMILL_ENTRY_PEER_GOSSIP_H_
 #define TREFOILMILL_ENTRY_PEER_GOSSIP_H_
@@ -19,6 +20,7 @@
 
 #include "trefoilmill/entry_settings.h"
 #include "trefoilmill/net/event_loop.h"
+#include "trefoilmill_entry/demand_sync.h"
 #include "trefoilmill_entry/fleet_membership.h"
 #include "trefoilmill_entry/peer_copies.h"
 #include "trefoilmill_entry/peer_datagrams.h"
@@ -116,6 +118,7 @@
   std::unique_ptr<trouble_reports> troubles_;
   std::unique_ptr<quarantine_sync> quarantine_;
   std::unique_ptr<quota_sync> quotas_;
+  std::unique_ptr<demand_sync> demands_;
   std::unique_ptr<rollout_sync> rollouts_;
 };
 
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -224,9 +224,10 @@
       .holds_permit = routed.holds_permit,
       .original = std::move(routed.original),
       .responder = responder,
-      .run = request_run(routed.table, matched, SelectServices(matched), now,
-                         routed.deadline, routed.identity,
-                         PriorityOf(routed).organisation),
+      .run = request_run(
+          routed.table, matched, SelectServices(matched), now, routed.deadline,
+          routed.identity,
+          {.id = routed.owner_id, .priority = PriorityOf(routed).organisation}),
       .arrived = now,
       .deadline = routed.deadline});
   active_request& active = *created;
@@ -243,6 +244,10 @@
 void request_handler::AnswerBy(time_point answer_by) {
   forwarder_.AnswerBy(answer_by);
   shared_state_.answer_by = answer_by;
+  for (waiting_request& waiting : waiting_) {
+    waiting.give_up_at = std::min(waiting.give_up_at, answer_by);
+  }
+  RetryWaiting();
   std::vector<request_number> numbers;
   std::ranges::copy(std::views::keys(active_requests_),
                     std::back_inserter(numbers));
@@ -302,7 +307,8 @@
                              {.request = number,
                               .shard = action.shard,
                               .priority = active.run.priority(),
-                              .objective_deadline = action.objective_deadline});
+                              .objective_deadline = action.objective_deadline,
+                              .over_share = action.over_share});
   for (const endpoint_id& id :
        shared_state_.registry.EndpointsOf(action.service)) {
     pools_.RequestConnection(id);
