Less traffic between zones, even load, fewer connections after a loss of all hosts

Now endpoints of other zones cost three times as much (hedges two), slow ones with the square of their latency, and fleets of more than 32 hosts limit member tables.

Even load: a host's own requests in flight are weighed by the number of hosts of its zone that choose at the same moment.

After a loss of all hosts, hosts that would not be advertised open connections only as callers need them. Metrics by organisation and of bytes between zones.

--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -81,6 +81,9 @@
   /// `zone` is the availability zone of this host; `rng` draws the endpoints.
   endpoint_selector(zone_id zone, std::mt19937_64 rng);
 
+  /// The availability zone of this host.
+  const zone_id& zone() const { return zone_; }
+
   /// @name State of zones and connections
   /// @{
 
@@ -88,6 +91,11 @@
   void SetZonesOutOfService(std::set<zone_id> zones) {
     zones_out_ = std::move(zones);
   }
+  /// Sets how many hosts of this zone choose endpoints for callers, this one
+  /// included. What this host has in flight at an endpoint stands for what each
+  /// of them probably has there: they choose at the same moment, and what they
+  /// could report would be out of date.
+  void SetChoosingHosts(std::size_t hosts);
   /// Sets endpoints that get no requests, whatever their zone.
   void SetWithheld(std::set<endpoint_id> endpoints) {
     withheld_ = std::move(endpoints);
@@ -262,13 +270,15 @@
   double CostOf(time_point now,
                 const endpoint_registry::entry& entry,
                 const endpoint_stats& stats,
-                duration expected) const;
+                duration expected,
+                purpose send_purpose) const;
 
   zone_id zone_;
   std::mt19937_64 rng_;
   std::set<zone_id> zones_out_;
   std::set<endpoint_id> withheld_;
   std::unordered_map<endpoint_id, endpoint_stats> stats_;
+  double in_flight_cost_ = 0;
   request_limits limits_;
   endpoint_reach reach_;
   endpoint_crashes crashes_;
--- a/src/libtrefoilmill/membership_rules.h
+++ b/src/libtrefoilmill/membership_rules.h
@@ -14,7 +14,7 @@
 /// host, so reports are exchanged only with peers on messages that are sent
 /// anyway. Larger fleets also limit the rate of member tables and carry fewer
 /// updates per message.
-inline constexpr std::size_t kMaxSmallFleetSize = 64;
+inline constexpr std::size_t kMaxSmallFleetSize = 32;
 
 /// Whether a host in `state` takes new work.
 bool AcceptsWork(member_state state);
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -38,15 +38,25 @@
 /// does.
 constexpr double kFailureCost = 8;
 
-/// Additional cost of each request in flight, per slot.
+/// Additional cost of each request in flight, per slot and choosing host.
 constexpr double kInFlightCost = 0.7;
+/// More hosts than this are not counted: each of them has so few requests in
+/// flight that one says little about the others.
+constexpr std::size_t kMaxChoosingHosts = 4;
 /// A request that has waited for more than this many expected latencies
 /// indicates a pause.
 constexpr double kPauseRatio = 2.5;
 /// Cost factor of an endpoint in another availability zone. With kCostExponent
-/// a healthy endpoint of this host's zone gets four of five sub-requests; one
-/// that is loaded, slow or failing loses them to the others.
-constexpr double kOtherZoneFactor = 2;
+/// a healthy endpoint of this host's zone gets more than nine of ten
+/// sub-requests; one that is loaded, slow or failing loses them to the others.
+constexpr double kOtherZoneFactor = 3;
+/// An endpoint whose latency is this many times the expected one is slow for
+/// longer than a single pause. From there its cost grows with the square of its
+/// latency, so that a slow one in this host's zone loses most sub-requests to
+/// the other zones.
+constexpr double kSlowRatio = 1.7;
+/// The cost factor for hedges, which are few and must not depend on one zone.
+constexpr double kHedgeOtherZoneFactor = 2;
 /// Cost factor of an endpoint that the platform no longer announces.
 constexpr double kWithdrawnFactor = 4;
 /// The weight in the random selection is the cost to the power of minus this;
@@ -98,7 +108,12 @@
 }
 
 endpoint_selector::endpoint_selector(zone_id zone, std::mt19937_64 rng)
-    : zone_(std::move(zone)), rng_(rng) {}
+    : zone_(std::move(zone)), rng_(rng), in_flight_cost_(kInFlightCost) {}
+
+void endpoint_selector::SetChoosingHosts(std::size_t hosts) {
+  in_flight_cost_ = kInFlightCost * static_cast<double>(std::clamp<std::size_t>(
+                                        hosts, 1, kMaxChoosingHosts));
+}
 
 void endpoint_selector::SetIdleConnections(const endpoint_id& id,
                                            int idle_connections) {
@@ -211,17 +226,24 @@
 double endpoint_selector::CostOf(time_point now,
                                  const endpoint_registry::entry& entry,
                                  const endpoint_stats& stats,
-                                 duration expected) const {
-  const double latency_ratio = LatencyRatio(now, stats, expected);
+                                 duration expected,
+                                 purpose send_purpose) const {
+  const double latency_ratio =
+      std::max(kMinLatencyRatio, LatencyRatio(now, stats, expected));
+  // A hedge may go to an endpoint that is somewhat slow rather than to none.
+  const bool is_hedge = send_purpose == purpose::kHedge;
+  const double latency_cost =
+      is_hedge ? latency_ratio
+               : latency_ratio * std::max(1.0, latency_ratio / kSlowRatio);
   const double failure_rate =
       std::max(stats.failure_rate.Value(now, kFailureHalfLife),
                stats.reported_failure_rate.Value(now, kReportHalfLife));
   const double load = static_cast<double>(stats.in_flight.size()) /
                       std::max(1, entry.record.slots);
-  double cost = std::max(kMinLatencyRatio, latency_ratio) *
-                (1 + kInFlightCost * load) * (1 + kFailureCost * failure_rate);
+  double cost = latency_cost * (1 + in_flight_cost_ * load) *
+                (1 + kFailureCost * failure_rate);
   if (entry.record.zone != zone_) {
-    cost *= kOtherZoneFactor;
+    cost *= is_hedge ? kHedgeOtherZoneFactor : kOtherZoneFactor;
   }
   if (entry.remove_at.has_value()) {
     cost *= kWithdrawnFactor;
@@ -255,7 +277,7 @@
     const bool timely =
         Scaled(expected, LatencyRatio(now, stats, expected)) <= time_left;
     any_timely = any_timely || timely;
-    const double cost = CostOf(now, entry, stats, expected);
+    const double cost = CostOf(now, entry, stats, expected, send_purpose);
     const bool spared =
         send_purpose == purpose::kHedge &&
         (cost > kMaxHedgeCost || limits_.LimitOf(id).has_value());
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -76,7 +76,8 @@
     : loop_(loop),
       settings_(settings),
       settings_file_(std::move(settings_file)),
-      shared_state_(CreateSharedState(settings, loop.Now())) {}
+      shared_state_(CreateSharedState(settings, loop.Now())),
+      started_at_(loop.Now()) {}
 
 entry_process::~entry_process() = default;
 
@@ -103,6 +104,7 @@
       loop, settings.callers.ip, process->shared_state_.selector,
       process->telemetry_,
       [self](const endpoint_id& id) { self->requests_->OnConnectionIdle(id); });
+  process->pools_->SetStandby(true);
   process->requests_ = std::make_unique<request_handler>(
       loop, process->shared_state_, *process->pools_, process->telemetry_,
       settings.callers.ip, std::mt19937_64(random()));
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -16,6 +16,8 @@
 
 /// Added to the headers of a request that is passed on to another host.
 constexpr std::size_t kForwardingHeaderBytes = 256;
+/// By when a host that has started knows which others are alive.
+constexpr duration kSettlingTime = std::chrono::seconds(2);
 
 /// Whether a listed record tells more than what is known of the endpoint.
 bool IsNews(const endpoint_registry::entry* known,
@@ -165,6 +167,7 @@
 }
 
 void entry_process::UpdateHosts() {
+  hosts_listed_ = true;
   std::vector<host_record> hosts;
   for (const stored_object& object :
        std::views::values(store_->Follower(object_kind::kHosts).objects())) {
@@ -347,7 +350,19 @@
   shared_state_.quotas.SetHosts(loop_.Now(), settings_.host, senders);
   telemetry_.meter->Set(metric::kHosts, static_cast<double>(known.size()),
                         {"known"});
-  pools_->SetStandby(!sending_hosts_.is_advertised);
+  shared_state_.selector.SetChoosingHosts(static_cast<std::size_t>(
+      std::ranges::count(entry_hosts_, settings_.zone, &host_record::zone)));
+  pools_->SetStandby(!sending_hosts_.is_advertised ||
+                     LeavesEndpointsToOthers(known));
+}
+
+bool entry_process::LeavesEndpointsToOthers(
+    const std::vector<host_record>& known) const {
+  if (loop_.Now() >= started_at_ + kSettlingTime) {
+    return false;
+  }
+  return !hosts_listed_ ||
+         !IsAdvertised(settings_.host, SelectAdvertisedHosts(known));
 }
 
 void entry_process::UpdateConnectionLimits() {
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -284,11 +284,12 @@
   if (shared_state_.selector.limits().LimitOf(action.endpoint).has_value()) {
     telemetry_.meter->Increment(metric::kLimitedEndpointSends, {purpose});
   }
+  const http_request request = platform::MakeEndpointRequest(
+      active.original, active.organisation, action.endpoint, left);
+  CountCrossZoneBytes(action.endpoint, "request", request.headers,
+                      request.target.size() + request.body.size());
   const bool sent = pools_.Send(
-      action.endpoint, action.attempt,
-      platform::MakeEndpointRequest(active.original, active.organisation,
-                                    action.endpoint, left),
-      left + kReplyMargin,
+      action.endpoint, action.attempt, request, left + kReplyMargin,
       [this, number, attempt = action.attempt](http_result exchange) {
         OnAttemptEnd(number, attempt, std::move(exchange));
       });
@@ -364,6 +365,8 @@
   const endpoint_id endpoint = sent->second;
   active.attempts.erase(sent);
   if (exchange.response.has_value()) {
+    CountCrossZoneBytes(endpoint, "reply", exchange.response->headers,
+                        exchange.response->body.size());
     ApplyNotice(active.id, endpoint, *exchange.response);
   }
   if (exchange.response.has_value() || !active.caller_disconnected) {
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -14,6 +14,7 @@
 
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
+#include "trefoilmill/process/organisation_labels.h"
 #include "trefoilmill/process/shared_request_state.h"
 #include "trefoilmill/request/request_run.h"
 #include "trefoilmill/version/route_table.h"
@@ -191,6 +192,14 @@
   void EraseIfFinished(request_number number);
   /// Logs an answer whose connection closed before all of it was written.
   void OnAnswerLost(const request_id& id, lost_response lost);
+  void CountForOrganisation(const organisation_id& id,
+                            std::string_view outcome);
+  /// Counts a request to an endpoint, or its reply, if the endpoint is in
+  /// another availability zone. `other_bytes` is what is not headers.
+  void CountCrossZoneBytes(const endpoint_id& id,
+                           std::string_view what,
+                           const std::vector<http_header>& headers,
+                           std::size_t other_bytes);
   /// Counts an answer, and logs it if it is late or incomplete.
   void RecordAnswer(const active_request& active, const caller_answer& answer);
 
@@ -206,6 +215,7 @@
   /// In order of arrival.
   std::vector<waiting_request> waiting_;
   timer waiting_timer_;
+  organisation_labels organisation_labels_;
   std::shared_ptr<const route_table> route_table_;
   duration loop_delay_{};
   std::uint64_t last_number_ = 0;
--- a/src/trefoilmill_entry/request_handler_log.cc
+++ b/src/trefoilmill_entry/request_handler_log.cc
@@ -1,4 +1,7 @@
 /// What request_handler logs and counts of requests and their answers.
+#include <algorithm>
+#include <functional>
+#include <numeric>
 #include <ranges>
 #include <string>
 #include <string_view>
@@ -11,6 +14,8 @@
 
 /// Shards that the log line of a late or incomplete answer names at most.
 constexpr std::size_t kMaxLoggedTroubles = 4;
+/// Between a header's name and value, and after it.
+constexpr std::size_t kHeaderSeparatorBytes = 4;
 
 /// For example "shelf-3@i-7 budget, shelf-9 no_replica": shard, endpoint tried
 /// last, and why it was not sent again.
@@ -63,6 +68,33 @@
                                                         lost.unsent_bytes)}}});
 }
 
+void request_handler::CountForOrganisation(const organisation_id& id,
+                                           std::string_view outcome) {
+  if (!id.value().empty()) {
+    telemetry_.meter->Increment(
+        metric::kOrganisationRequests,
+        {organisation_labels_.CountRequest(id), outcome});
+  }
+}
+
+void request_handler::CountCrossZoneBytes(
+    const endpoint_id& id,
+    std::string_view what,
+    const std::vector<http_header>& headers,
+    std::size_t other_bytes) {
+  const auto* entry = shared_state_.registry.Find(id);
+  if (entry == nullptr || entry->record.zone == shared_state_.selector.zone()) {
+    return;
+  }
+  const std::size_t bytes = std::transform_reduce(
+      headers.begin(), headers.end(), other_bytes, std::plus<>(),
+      [](const http_header& header) {
+        return header.name.size() + header.value.size() + kHeaderSeparatorBytes;
+      });
+  telemetry_.meter->Increment(metric::kCrossZoneBytes, {what},
+                              static_cast<double>(bytes));
+}
+
 void request_handler::RecordAnswer(const active_request& active,
                                    const caller_answer& answer) {
   struct outcome_name {
@@ -81,6 +113,7 @@
   const duration took = loop_.Now() - active.arrived;
   telemetry_.meter->Increment(metric::kCallerRequests, {outcome});
   telemetry_.meter->Observe(metric::kCallerRequestDuration, took, {outcome});
+  CountForOrganisation(active.organisation, outcome);
   const auto& counts = active.run.counts();
   telemetry_.meter->Increment(metric::kSendBudgetRefusals, {},
                               static_cast<double>(counts.budget_refusals));
