--- a/src/libtrefoilmill/process/fair_shares_test.cc
+++ b/src/libtrefoilmill/process/fair_shares_test.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const time_point kStart{seconds(10)};
+constexpr time_point kStart{seconds(10)};
 constexpr bool kUrgent = true;
 constexpr bool kOther = false;
 
