Prefer the own zone more strongly only while an endpoint there is fine

Now the factor is two, as it was, and other zones' weight is reduced further only while an endpoint of the own zone is neither slow nor loaded.

--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -270,8 +270,7 @@
   double CostOf(time_point now,
                 const endpoint_registry::entry& entry,
                 const endpoint_stats& stats,
-                duration expected,
-                purpose send_purpose) const;
+                duration expected) const;
 
   zone_id zone_;
   std::mt19937_64 rng_;
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -47,16 +47,14 @@
 /// indicates a pause.
 constexpr double kPauseRatio = 2.5;
 /// Cost factor of an endpoint in another availability zone. With kCostExponent
-/// a healthy endpoint of this host's zone gets more than nine of ten
-/// sub-requests; one that is loaded, slow or failing loses them to the others.
-constexpr double kOtherZoneFactor = 3;
-/// An endpoint whose latency is this many times the expected one is slow for
-/// longer than a single pause. From there its cost grows with the square of its
-/// latency, so that a slow one in this host's zone loses most sub-requests to
-/// the other zones.
-constexpr double kSlowRatio = 1.7;
-/// The cost factor for hedges, which are few and must not depend on one zone.
-constexpr double kHedgeOtherZoneFactor = 2;
+/// a healthy endpoint of this host's zone gets four of five sub-requests; one
+/// that is loaded, slow or failing loses them to the others.
+constexpr double kOtherZoneFactor = 2;
+/// The weight of endpoints in other zones is divided by this while one of this
+/// zone costs at most kFineCost: more than nine of ten sub-requests then stay
+/// in the zone, at no loss for callers.
+constexpr double kFineZoneDivisor = 3.4;
+constexpr double kFineCost = 1.5;
 /// Cost factor of an endpoint that the platform no longer announces.
 constexpr double kWithdrawnFactor = 4;
 /// The weight in the random selection is the cost to the power of minus this;
@@ -226,24 +224,18 @@
 double endpoint_selector::CostOf(time_point now,
                                  const endpoint_registry::entry& entry,
                                  const endpoint_stats& stats,
-                                 duration expected,
-                                 purpose send_purpose) const {
-  const double latency_ratio =
-      std::max(kMinLatencyRatio, LatencyRatio(now, stats, expected));
-  // A hedge may go to an endpoint that is somewhat slow rather than to none.
-  const bool is_hedge = send_purpose == purpose::kHedge;
-  const double latency_cost =
-      is_hedge ? latency_ratio
-               : latency_ratio * std::max(1.0, latency_ratio / kSlowRatio);
+                                 duration expected) const {
+  const double latency_ratio = LatencyRatio(now, stats, expected);
   const double failure_rate =
       std::max(stats.failure_rate.Value(now, kFailureHalfLife),
                stats.reported_failure_rate.Value(now, kReportHalfLife));
   const double load = static_cast<double>(stats.in_flight.size()) /
                       std::max(1, entry.record.slots);
-  double cost = latency_cost * (1 + in_flight_cost_ * load) *
+  double cost = std::max(kMinLatencyRatio, latency_ratio) *
+                (1 + in_flight_cost_ * load) *
                 (1 + kFailureCost * failure_rate);
   if (entry.record.zone != zone_) {
-    cost *= is_hedge ? kHedgeOtherZoneFactor : kOtherZoneFactor;
+    cost *= kOtherZoneFactor;
   }
   if (entry.remove_at.has_value()) {
     cost *= kWithdrawnFactor;
@@ -262,6 +254,7 @@
   bool usable = false;
   bool limited = false;
   bool any_timely = false;
+  bool own_zone_is_fine = false;
   std::vector<candidate> candidates;
   for (const endpoint_id& id : registry.EndpointsOf(service)) {
     const endpoint_registry::entry& entry = *registry.Find(id);
@@ -277,13 +270,15 @@
     const bool timely =
         Scaled(expected, LatencyRatio(now, stats, expected)) <= time_left;
     any_timely = any_timely || timely;
-    const double cost = CostOf(now, entry, stats, expected, send_purpose);
+    const double cost = CostOf(now, entry, stats, expected);
     const bool spared =
         send_purpose == purpose::kHedge &&
         (cost > kMaxHedgeCost || limits_.LimitOf(id).has_value());
     if (stats.idle_connections <= 0 || spared) {
       continue;
     }
+    own_zone_is_fine =
+        own_zone_is_fine || (entry.record.zone == zone_ && cost <= kFineCost);
     candidates.push_back({.id = id,
                           .weight = std::pow(cost, -kCostExponent),
                           .timely = timely,
@@ -296,6 +291,14 @@
     return usable ? selection(no_capacity{})
                   : selection(no_usable_endpoint{.limited = limited});
   }
+  // Hedges are few, and must not depend on one zone.
+  if (own_zone_is_fine && send_purpose == purpose::kFirst) {
+    for (candidate& c : candidates) {
+      if (registry.Find(c.id)->record.zone != zone_) {
+        c.weight /= kFineZoneDivisor;
+      }
+    }
+  }
   return selected{Draw(std::move(candidates))};
 }
 
