--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -241,8 +241,9 @@
     return usable ? selection(no_capacity{})
                   : selection(no_usable_endpoint{.limited = limited});
   }
-  // Hedges are few, and must not depend on one zone.
-  if (own_zone_is_fine && send_purpose == purpose::kFirst) {
+  // Hedges and retries are few, and must not depend on one zone.
+  const bool is_first = send_purpose == purpose::kFirst && excluded.empty();
+  if (own_zone_is_fine && is_first) {
     for (candidate& c : candidates) {
       if (registry.Find(c.id)->record.zone != zone_) {
         c.weight /= kFineZoneDivisor;
--- a/src/libtrefoilmill/process/endpoint_selector_test.cc
+++ b/src/libtrefoilmill/process/endpoint_selector_test.cc
@@ -210,8 +210,10 @@
   };
   using enum endpoint_selector::purpose;
   BOOST_TEST(part_of_own_zone(kFirst) > 0.9);
-  // Hedges must not depend on one zone.
+  // Hedges and retries must not depend on one zone.
   BOOST_TEST(part_of_own_zone(kHedge) < 0.85);
+  auto retries = CountChoices(kFirst, {endpoint_id("a")});
+  BOOST_TEST(retries["b"] > 0.08 * (retries["b"] + retries["c"]));
   for (int i = 0; i < 5; ++i) {
     SendAndFinish("c", 2 * kExpectedLatency, send_outcome::kSucceeded);
   }
