Log how copies between hosts end, their size and time; count their bytes

Both ends of a copy now state them, 'configuration in force' states the bytes and the time to decode and to build, and trefoilmill_peer_bytes_total counts copies. No change of logic.

--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -20,7 +20,7 @@
 STORE_PORT = 8229
 SHARDS = [f"shard-{n}" for n in range(5)]
 LIMIT_S = 15.0
-FRONT, READY, DIRECTORY, PEERS = 8226, 8227, 8225, 7740
+FRONT, READY, DIRECTORY, PEERS, METRICS = 8226, 8227, 8225, 7740, 9464
 
 
 def eventually(what, check, poll_s=0.05):
--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "trefoilmill/http_message.h"
@@ -149,6 +150,9 @@
   kMalformed,       ///< The response could not be parsed or was too large.
 };
 
+/// "not_connected", "timeout", "connection_lost" or "malformed", for logs.
+std::string_view ToString(http_failure reason);
+
 /// Result of one request: exactly one of the two members is set.
 struct http_result {
   std::optional<http_response> response;
--- a/src/libtmnet/http_client.cc
+++ b/src/libtmnet/http_client.cc
@@ -16,6 +16,20 @@
 
 }  // namespace
 
+std::string_view ToString(http_failure reason) {
+  switch (reason) {
+    case http_failure::kNotConnected:
+      return "not_connected";
+    case http_failure::kTimeout:
+      return "timeout";
+    case http_failure::kConnectionLost:
+      return "connection_lost";
+    case http_failure::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
 struct http_client::impl {
   // A request in progress, from Send() until its result is reported.
   struct pending_request {
--- a/src/libtmnet/metrics_table.cc
+++ b/src/libtmnet/metrics_table.cc
@@ -171,7 +171,7 @@
       {metric::kPeerBytes,
        kCounter,
        "trefoilmill_peer_bytes_total",
-       "Bytes of messages between daemons, by use: control or query, and "
+       "Bytes between hosts, by use (control, query, copies or patches) and "
        "direction.",
        {"use", "direction"},
        {}},
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -68,6 +68,7 @@
 }
 
 void entry_process::UpdateConfiguration() {
+  const time_point began = loop_.Now();
   const auto& objects = store_->Follower(object_kind::kConfiguration).objects();
   const auto found = objects.find(platform::kConfigurationObjectName);
   if (found == objects.end()) {
@@ -101,7 +102,9 @@
       {.at = found->second.at,
        .inputs = {
            {"version", static_cast<std::int64_t>(config.version.value())},
-           {"routes", static_cast<std::int64_t>(config.routes.size())}}});
+           {"routes", static_cast<std::int64_t>(config.routes.size())},
+           {"bytes", static_cast<std::int64_t>(found->second.content.size())},
+           {"took_us", (loop_.Now() - began).count()}}});
   telemetry_.meter->Set(metric::kConfigurationVersion,
                         static_cast<double>(config.version.value()));
   caller_server_->SetLimits(config.callers.max_header_bytes,
--- a/src/trefoilmill_entry/peer_copies.cc
+++ b/src/trefoilmill_entry/peer_copies.cc
@@ -1,7 +1,9 @@
 #include "trefoilmill_entry/peer_copies.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "trefoilmill/wire/copy_codec.h"
@@ -82,11 +84,27 @@
       response.status = 200;
       response.content_type = "application/cbor";
       response.body = EncodeCopy(store_.Follower(kind).MakeCopy());
+      WatchDelivery(kind, request.peer_ip, responder);
     }
   }
+  telemetry_.meter->Increment(metric::kPeerBytes, {"copies", "out"},
+                              static_cast<double>(response.body.size()));
   responder.Send(response);
 }
 
+void peer_copies::WatchDelivery(object_kind kind,
+                                const std::string& receiver,
+                                const http_responder& responder) {
+  responder.OnResponseLost([this, kind, receiver](lost_response lost) {
+    telemetry_.log->Info(
+        "copy not delivered; its receiver closed the connection",
+        {.document = DocumentIdOf(kind),
+         .detail = receiver,
+         .inputs = {
+             {"unsent_bytes", static_cast<std::int64_t>(lost.unsent_bytes)}}});
+  });
+}
+
 void peer_copies::FetchNewerCopies() {
   for (const object_kind kind : kObjectKinds) {
     FetchIfBehind(kind);
@@ -132,15 +150,33 @@
   const http_request request{.method = "GET", .path = PathOf(kind)};
   client_.Send(
       from, request, kFetchTimeout,
-      [this, kind](const http_result& exchange) { OnFetched(kind, exchange); });
+      [this, kind, from, began = loop_.Now()](const http_result& exchange) {
+        OnFetched(kind, {.source = from, .began = began}, exchange);
+      });
 }
 
-void peer_copies::OnFetched(object_kind kind, const http_result& exchange) {
+void peer_copies::OnFetched(object_kind kind,
+                            const fetch& asked,
+                            const http_result& exchange) {
+  const std::int64_t took_us = (loop_.Now() - asked.began).count();
   if (!exchange.response.has_value() || exchange.response->status != 200) {
-    telemetry_.log->Info("fetching a copy from a peer failed",
-                         {.document = DocumentIdOf(kind)});
+    const std::string_view why = exchange.failure_reason.has_value()
+                                     ? ToString(*exchange.failure_reason)
+                                     : "unexpected_status";
+    telemetry_.log->Info(
+        "fetching a copy from a peer failed",
+        {.document = DocumentIdOf(kind),
+         .detail = std::string(why),
+         .inputs = {{"source", asked.source.ip}, {"took_us", took_us}}});
     return;
   }
+  telemetry_.log->Info(
+      "copy received from a peer",
+      {.document = DocumentIdOf(kind),
+       .inputs = {
+           {"source", asked.source.ip},
+           {"bytes", static_cast<std::int64_t>(exchange.response->body.size())},
+           {"took_us", took_us}}});
   auto copy = DecodeCopy(exchange.response->body);
   if (!copy.has_value()) {
     telemetry_.log->Warning(
--- a/src/trefoilmill_entry/peer_copies.h
+++ b/src/trefoilmill_entry/peer_copies.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "trefoilmill/entry_settings.h"
@@ -58,8 +59,18 @@
               const fleet_membership& fleet,
               telemetry& process_telemetry);
 
+  /// A request for a copy.
+  struct fetch {
+    socket_address source;
+    time_point began;
+  };
+
   /// Serves the copy of one kind.
   void OnRequest(const http_request& request, const http_responder& responder);
+  /// Logs a copy that its receiver gave up before it was written whole.
+  void WatchDelivery(object_kind kind,
+                     const std::string& receiver,
+                     const http_responder& responder);
   /// Fetches the kinds of which a peer has had a newer revision for some time.
   void FetchNewerCopies();
   void FetchIfBehind(object_kind kind);
@@ -67,7 +78,9 @@
   std::vector<socket_address> PeersAhead(object_kind kind) const;
   void FetchCopy(object_kind kind, const socket_address& from);
   /// Applies a fetched copy, or logs why there is none.
-  void OnFetched(object_kind kind, const http_result& exchange);
+  void OnFetched(object_kind kind,
+                 const fetch& asked,
+                 const http_result& exchange);
 
   event_loop& loop_;
   store_sync& store_;
