Load configurations part by part, and only the parts that changed

Cause: every change of the configuration was parsed three times as a whole, compared as a whole and built into new tables in one turn of the loop.

Change: a configuration is taken apart without decoding it (simdjson finds the elements of its lists) into parts named by their digests. Sets of parts and the tables share what does not change between versions. configuration_loader decodes only parts that the version before lacked, 64 a turn; a newer version goes on from what has been decoded. Two routes with the same host name and prefix: the one with the smaller id takes effect instead of the first one, since parts have no order.

--- a/src/include/trefoilmill/version/stored_object.h
+++ b/src/include/trefoilmill/version/stored_object.h
@@ -3,11 +3,13 @@
 #ifndef TREFOILMILL_VERSION_STORED_OBJECT_H_
 #define TREFOILMILL_VERSION_STORED_OBJECT_H_
 
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "trefoilmill/ids.h"
+#include "trefoilmill/version/part_set.h"
 
 namespace trefoilmill {
 
@@ -38,9 +40,17 @@
   /// Store revision of the last write, or of the deletion in a deletion event.
   revision at;
   /// JSON text; see platform::DecodeRollout() for that of an order, which
-  /// includes the state that the system writes.
+  /// includes the state that the system writes. Empty if `parts` is set.
   std::string content;
-  friend bool operator==(const stored_object&, const stored_object&) = default;
+  /// The content of a configuration, taken apart; null for other kinds.
+  std::shared_ptr<const part_set> parts;
+
+  friend bool operator==(const stored_object& a, const stored_object& b) {
+    const bool same_parts =
+        a.parts == nullptr || b.parts == nullptr || *a.parts == *b.parts;
+    return a.name == b.name && a.at == b.at && a.content == b.content &&
+           (a.parts == nullptr) == (b.parts == nullptr) && same_parts;
+  }
 };
 
 /// A write or deletion of one object.
--- a/src/libtmwire/wire_corpus_test.cc
+++ b/src/libtmwire/wire_corpus_test.cc
@@ -7,6 +7,7 @@
 
 #include "corpus_replay_test.h"
 #include "trefoilmill/wire/copy_codec.h"
+#include "trefoilmill/wire/document_splitter.h"
 #include "trefoilmill/wire/entry_settings_codec.h"
 #include "trefoilmill/wire/peer_codec.h"
 #include "trefoilmill/wire/quarantine_codec.h"
@@ -78,6 +79,12 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(document_splitter) {
+  ReplayCorpus("document", [](const std::string& text) {
+    return Reencoded(SplitDocument(text), JoinDocument, SplitDocument);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(host_record_decoder) {
   ReplayCorpus("host_record", [](const std::string& text) {
     return Reencoded(ReadHostRecord(text), WriteHostRecord, ReadHostRecord);
--- a/src/libtrefoilmill/version/route_table.cc
+++ b/src/libtrefoilmill/version/route_table.cc
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <optional>
-#include <set>
 #include <utility>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace trefoilmill {
 namespace {
 
@@ -42,26 +45,32 @@
   return std::nullopt;
 }
 
-/// Returns why an organisation is invalid, or nullopt if all are valid. Names
-/// no key.
-std::optional<std::string> FindError(
-    const std::vector<organisation>& organisations) {
-  std::set<organisation_id> names;
-  std::set<std::string_view> keys;
-  for (const organisation& o : organisations) {
-    const std::string name = "organisation " + o.id.value() + ": ";
-    if (o.id.value().empty() || !names.insert(o.id).second) {
-      return name + "its name is empty or occurs twice";
-    }
-    for (const std::string& key : o.keys) {
-      if (key.empty() || !keys.insert(key).second) {
-        return name + "a key is empty or occurs twice";
-      }
+/// Returns why the keys of an organisation are invalid in themselves, or
+/// nullopt. Names no key.
+std::optional<std::string> FindKeyError(const organisation& o) {
+  for (auto key = o.keys.begin(); key != o.keys.end(); ++key) {
+    if (key->empty() || std::find(o.keys.begin(), key, *key) != key) {
+      return "a key is empty or occurs twice";
     }
   }
   return std::nullopt;
 }
 
+std::uint64_t HashOf(std::string_view text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::uint64_t HashOf(std::string_view host, std::string_view prefix) {
+  return XXH3_64bits_withSeed(prefix.data(), prefix.size(), HashOf(host));
+}
+
+/// The bucket of a name.
+template <class element>
+std::size_t IndexOf(const shared_buckets<element>& /*table*/,
+                    std::string_view name) {
+  return shared_buckets<element>::IndexOf(HashOf(name));
+}
+
 failure InvalidConfiguration(std::string detail) {
   return {.outcome = verdict::kNotRun,
           .reason = reason_code::kBadRequest,
@@ -83,46 +92,130 @@
 }
 
 result<std::shared_ptr<const route_table>> route_table::Create(
-    routing_config config) {
+    const routing_config& config) {
+  auto table = std::make_shared<route_table>();
+  table->SetVersion(config.version);
+  table->SetCallerLimits(config.callers);
   for (const route& r : config.routes) {
-    if (const auto error = FindError(r)) {
-      return InvalidConfiguration("route " + r.id.value() + ": " + *error);
+    auto added = table->Add(std::make_shared<const route>(r));
+    if (!added.has_value()) {
+      return added.error();
     }
   }
-  if (auto error = FindError(config.organisations)) {
-    return InvalidConfiguration(std::move(*error));
+  for (const auto& [id, settings] : config.services) {
+    table->Add(std::make_shared<const service_entry>(
+        service_entry{.id = id, .settings = settings}));
   }
-  return std::shared_ptr<const route_table>(new route_table(std::move(config)));
+  for (const organisation& o : config.organisations) {
+    auto added = table->Add(std::make_shared<const organisation>(o));
+    if (!added.has_value()) {
+      return added.error();
+    }
+  }
+  return std::shared_ptr<const route_table>(std::move(table));
 }
 
-route_table::route_table(routing_config config) : config_(std::move(config)) {
-  for (const route& r : config_.routes) {
-    routes_by_host_[NormalizeHost(r.host)].try_emplace(r.prefix, &r);
+result<void> route_table::Add(shared_route added) {
+  if (const auto error = FindError(*added)) {
+    return InvalidConfiguration("route " + added->id.value() + ": " + *error);
   }
-  for (const organisation& o : config_.organisations) {
-    organisations_.emplace(o.id, &o);
-    for (const std::string& key : o.keys) {
-      organisations_by_key_.emplace(key, &o);
-    }
+  std::string host = NormalizeHost(added->host);
+  const std::size_t index =
+      shared_buckets<hosted_route>::IndexOf(HashOf(host, added->prefix));
+  ++route_count_;
+  routes_.Own(index).push_back(
+      {.host = std::move(host), .matched = std::move(added)});
+  return outcome::success();
+}
+
+void route_table::Remove(const shared_route& removed) {
+  const std::size_t index = shared_buckets<hosted_route>::IndexOf(
+      HashOf(NormalizeHost(removed->host), removed->prefix));
+  route_count_ -= std::erase_if(
+      routes_.Own(index),
+      [&](const hosted_route& stored) { return stored.matched == removed; });
+}
+
+void route_table::Add(shared_service added) {
+  const std::size_t index = IndexOf(services_, added->id.value());
+  services_.Own(index).push_back(std::move(added));
+}
+
+void route_table::Remove(const shared_service& removed) {
+  const std::size_t index = IndexOf(services_, removed->id.value());
+  std::erase(services_.Own(index), removed);
+}
+
+result<void> route_table::Add(shared_organisation added) {
+  const std::string prefix = "organisation " + added->id.value() + ": ";
+  if (added->id.value().empty() || Find(added->id) != nullptr) {
+    return InvalidConfiguration(prefix + "its name is empty or occurs twice");
+  }
+  if (const auto error = FindKeyError(*added)) {
+    return InvalidConfiguration(prefix + *error);
+  }
+  if (std::ranges::any_of(added->keys, [this](const std::string& key) {
+        return FindByKey(key) != nullptr;
+      })) {
+    return InvalidConfiguration(prefix + "a key is empty or occurs twice");
+  }
+  for (const std::string& key : added->keys) {
+    keys_.Own(IndexOf(keys_, key)).push_back({.key = key, .holder = added});
+  }
+  ++organisation_count_;
+  const std::size_t index = IndexOf(organisations_, added->id.value());
+  organisations_.Own(index).push_back(std::move(added));
+  return outcome::success();
+}
+
+void route_table::Remove(const shared_organisation& removed) {
+  for (const std::string& key : removed->keys) {
+    std::erase_if(keys_.Own(IndexOf(keys_, key)),
+                  [&](const held_key& held) { return held.holder == removed; });
   }
+  const std::size_t index = IndexOf(organisations_, removed->id.value());
+  organisation_count_ -= std::erase(organisations_.Own(index), removed);
 }
 
 const organisation* route_table::FindByKey(std::string_view key) const {
-  const auto found = organisations_by_key_.find(key);
-  return found == organisations_by_key_.end() ? nullptr : found->second;
+  const auto& bucket = keys_.At(IndexOf(keys_, key));
+  const auto found = std::ranges::find(bucket, key, &held_key::key);
+  return found == bucket.end() ? nullptr : found->holder.get();
 }
 
 const organisation* route_table::Find(const organisation_id& id) const {
-  const auto found = organisations_.find(id);
-  return found == organisations_.end() ? nullptr : found->second;
+  const auto& bucket = organisations_.At(IndexOf(organisations_, id.value()));
+  const auto found = std::ranges::find_if(
+      bucket, [&](const shared_organisation& o) { return o->id == id; });
+  return found == bucket.end() ? nullptr : found->get();
+}
+
+std::vector<organisation> route_table::OrganisationsWithoutKeys() const {
+  std::vector<organisation> copies;
+  copies.reserve(organisation_count_);
+  organisations_.ForEach([&](const shared_organisation& o) {
+    copies.push_back({.id = o->id, .priority = o->priority, .quota = o->quota});
+  });
+  return copies;
+}
+
+const route* route_table::FindExact(std::string_view host,
+                                    std::string_view prefix) const {
+  const route* found = nullptr;
+  for (const hosted_route& stored : routes_.At(
+           shared_buckets<hosted_route>::IndexOf(HashOf(host, prefix)))) {
+    const bool matches =
+        stored.host == host && stored.matched->prefix == prefix;
+    if (matches && (found == nullptr || stored.matched->id < found->id)) {
+      found = stored.matched.get();
+    }
+  }
+  return found;
 }
 
 const route* route_table::Match(std::string_view host,
                                 std::string_view target) const {
-  const auto host_routes = routes_by_host_.find(NormalizeHost(host));
-  if (host_routes == routes_by_host_.end()) {
-    return nullptr;
-  }
+  const std::string host_name = NormalizeHost(host);
   // Removes one path segment at a time, so the longest prefix is found first.
   std::string_view path = PathOf(target);
   while (!path.empty()) {
@@ -130,10 +223,8 @@
     if (slash == std::string_view::npos) {
       return nullptr;
     }
-    const auto match =
-        host_routes->second.find(std::string(path.substr(0, slash + 1)));
-    if (match != host_routes->second.end()) {
-      return match->second;
+    if (const route* found = FindExact(host_name, path.substr(0, slash + 1))) {
+      return found;
     }
     path = path.substr(0, slash);
   }
@@ -143,8 +234,10 @@
 const service_settings& route_table::SettingsOf(
     const service_id& service) const {
   static const service_settings default_rules;
-  const auto found = config_.services.find(service);
-  return found == config_.services.end() ? default_rules : found->second;
+  const auto& bucket = services_.At(IndexOf(services_, service.value()));
+  const auto found = std::ranges::find_if(
+      bucket, [&](const shared_service& s) { return s->id == service; });
+  return found == bucket.end() ? default_rules : (*found)->settings;
 }
 
 }  // namespace trefoilmill
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -6,6 +6,7 @@
 #include <ranges>
 #include <utility>
 
+#include "platform/documents.h"
 #include "platform/headers.h"
 #include "platform/http_conversion.h"
 #include "trefoilmill/entry_list.h"
@@ -77,6 +78,7 @@
       settings_(settings),
       settings_file_(std::move(settings_file)),
       shared_state_(CreateSharedState(settings, loop.Now())),
+      configuration_(platform::DecodeConfigurationPart),
       started_at_(loop.Now()) {}
 
 entry_process::~entry_process() = default;
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -13,6 +13,7 @@
 #include "trefoilmill/net/http.h"
 #include "trefoilmill/process/sending_hosts.h"
 #include "trefoilmill/process/shared_request_state.h"
+#include "trefoilmill/version/configuration_loader.h"
 #include "trefoilmill/version/route_table.h"
 #include "trefoilmill/version/zones_out.h"
 #include "trefoilmill_entry/connection_pools.h"
@@ -54,11 +55,19 @@
   void OnObjectsReplaced(object_kind kind);
   /// One object was written or deleted.
   void OnObjectChanged(object_kind kind, const object_event& event);
+  /// Begins to load the configuration that the store or a peer shows.
   void UpdateConfiguration();
-  /// Logs that the store shows an older version than the one in force, as after
-  /// a restoration.
-  void LogOutdatedConfiguration(const stored_object& object,
-                                config_version version);
+  /// Loads some parts of the configuration, and plans the rest for a later turn
+  /// of the loop, so that a large one delays nothing else.
+  void LoadConfiguration();
+  void OnLoadStep(const configuration_loader::in_progress& step);
+  void OnLoadStep(const configuration_loader::loaded& step);
+  void OnLoadStep(const configuration_loader::refused& step);
+  /// The store shows an older version than the one in force, as after a
+  /// restoration.
+  void OnLoadStep(const configuration_loader::outdated& step);
+  /// Puts new limits of callers' connections and requests in force.
+  void ApplyCallerLimits(const caller_limits& limits);
   void UpdateZonesOut();
   /// Passes changes of the zones in effect on to the selector.
   void ApplyZonesOut();
@@ -107,6 +116,8 @@
   std::string settings_file_;
   telemetry telemetry_;
   shared_request_state shared_state_;
+  configuration_loader configuration_;
+  timer load_timer_;
   std::shared_ptr<const route_table> route_table_;
   /// The hosts named to callers, and those that are not because they do not
   /// reach the endpoints, when this host's shares were last computed.
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <ranges>
 #include <utility>
+#include <variant>
 
 #include "platform/documents.h"
 #include "trefoilmill/connection/connection_share.h"
@@ -16,6 +17,9 @@
 
 /// Added to the headers of a request that is passed on to another host.
 constexpr std::size_t kForwardingHeaderBytes = 256;
+/// Parts of a configuration that are loaded in one turn of the loop: some
+/// milliseconds of work for a host with an eighth of a core.
+constexpr std::size_t kPartsPerTurn = 64;
 
 /// Whether a listed record tells more than what is known of the endpoint.
 bool IsNews(const endpoint_registry::entry* known,
@@ -68,73 +72,87 @@
 }
 
 void entry_process::UpdateConfiguration() {
-  const time_point began = loop_.Now();
   const auto& objects = store_->Follower(object_kind::kConfiguration).objects();
   const auto found = objects.find(platform::kConfigurationObjectName);
   if (found == objects.end()) {
     return;
   }
-  auto decoded = platform::DecodeConfiguration(found->second.content);
-  if (!decoded.has_value()) {
-    telemetry_.log->Error(log_message::kConfigurationRefused,
-                          {.at = found->second.at,
-                           .reason = decoded.error().reason,
-                           .detail = decoded.error().detail});
+  const stored_object& object = found->second;
+  if (object.parts == nullptr) {
+    const auto malformed = platform::SplitConfiguration(object.content);
+    OnLoadStep(configuration_loader::refused{
+        .at = object.at,
+        .error = malformed.has_value() ? failure{} : malformed.error()});
     return;
   }
-  if (route_table_ != nullptr &&
-      decoded.value().version <= route_table_->config().version) {
-    LogOutdatedConfiguration(found->second, decoded.value().version);
-    return;
-  }
-  auto table = route_table::Create(std::move(decoded.value()));
-  if (!table.has_value()) {
-    telemetry_.log->Error(log_message::kConfigurationRefused,
-                          {.at = found->second.at,
-                           .reason = table.error().reason,
-                           .detail = table.error().detail});
-    return;
+  configuration_.SetTarget(*object.parts, object.at);
+  LoadConfiguration();
+}
+
+void entry_process::LoadConfiguration() {
+  std::visit([this](const auto& step) { OnLoadStep(step); },
+             configuration_.Step(kPartsPerTurn));
+}
+
+void entry_process::OnLoadStep(
+    const configuration_loader::in_progress& /*step*/) {
+  if (configuration_.has_target()) {
+    load_timer_ =
+        loop_.RunAfter(duration::zero(), [this] { LoadConfiguration(); });
   }
-  route_table_ = std::move(table.value());
-  const routing_config& config = route_table_->config();
+}
+
+void entry_process::OnLoadStep(const configuration_loader::loaded& step) {
+  const bool is_first = route_table_ == nullptr;
+  route_table_ = step.table;
   telemetry_.log->Info(
       log_message::kConfigurationInForce,
-      {.at = found->second.at,
+      {.at = step.at,
        .inputs = {
-           {"version", static_cast<std::int64_t>(config.version.value())},
-           {"routes", static_cast<std::int64_t>(config.routes.size())},
-           {"bytes", static_cast<std::int64_t>(found->second.content.size())},
-           {"took_us", (loop_.Now() - began).count()}}});
+           {"version",
+            static_cast<std::int64_t>(route_table_->version().value())},
+           {"routes", static_cast<std::int64_t>(route_table_->route_count())},
+           {"changed_parts", static_cast<std::int64_t>(step.changed_parts)}}});
   telemetry_.meter->Set(metric::kConfigurationVersion,
-                        static_cast<double>(config.version.value()));
-  caller_server_->SetLimits(config.callers.max_header_bytes,
-                            config.callers.max_body_bytes,
-                            config.callers.idle_timeout * kIdleTimeoutFactor);
-  peers_->server().SetLimits(
-      config.callers.max_header_bytes + kForwardingHeaderBytes,
-      config.callers.max_body_bytes,
-      config.callers.idle_timeout * kIdleTimeoutFactor);
+                        static_cast<double>(route_table_->version().value()));
+  ApplyCallerLimits(route_table_->callers());
   requests_->SetRouteTable(route_table_);
   peers_->quotas().SetRouteTable(route_table_);
-  shared_state_.shares.SetWeights(config.organisations);
-  hosts_changed_ = true;
-  ApplyHostChanges();
-  UpdateConnectionLimits();
+  if (step.organisations_changed) {
+    shared_state_.shares.SetWeights(route_table_->OrganisationsWithoutKeys());
+  }
+  if (is_first) {
+    hosts_changed_ = true;
+    ApplyHostChanges();
+  }
+  if (is_first || step.services_changed) {
+    UpdateConnectionLimits();
+  }
   ReportReadiness();
 }
 
-void entry_process::LogOutdatedConfiguration(const stored_object& object,
-                                             config_version version) {
-  const config_version in_force = route_table_->config().version;
-  if (version == in_force) {
-    return;
-  }
+void entry_process::OnLoadStep(const configuration_loader::refused& step) {
+  telemetry_.log->Error(log_message::kConfigurationRefused,
+                        {.at = step.at,
+                         .reason = step.error.reason,
+                         .detail = step.error.detail});
+}
+
+void entry_process::OnLoadStep(const configuration_loader::outdated& step) {
   telemetry_.log->Warning(
       "older configuration ignored; the newer one stays in force",
-      {.at = object.at,
-       .inputs = {
-           {"version", static_cast<std::int64_t>(version.value())},
-           {"version_in_force", static_cast<std::int64_t>(in_force.value())}}});
+      {.at = step.at,
+       .inputs = {{"version", static_cast<std::int64_t>(step.version.value())},
+                  {"version_in_force", static_cast<std::int64_t>(
+                                           route_table_->version().value())}}});
+}
+
+void entry_process::ApplyCallerLimits(const caller_limits& limits) {
+  const duration idle_timeout = limits.idle_timeout * kIdleTimeoutFactor;
+  caller_server_->SetLimits(limits.max_header_bytes, limits.max_body_bytes,
+                            idle_timeout);
+  peers_->server().SetLimits(limits.max_header_bytes + kForwardingHeaderBytes,
+                             limits.max_body_bytes, idle_timeout);
 }
 
 void entry_process::UpdateZonesOut() {
--- a/src/trefoilmill_entry/peer_copies.cc
+++ b/src/trefoilmill_entry/peer_copies.cc
@@ -8,6 +8,7 @@
 
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill_entry/object_digests.h"
+#include "trefoilmill_entry/object_parts.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -83,7 +84,7 @@
     if (request.path == PathOf(kind)) {
       response.status = 200;
       response.content_type = "application/cbor";
-      response.body = EncodeCopy(store_.Follower(kind).MakeCopy());
+      response.body = EncodeCopy(WithTexts(store_.Follower(kind).MakeCopy()));
       WatchDelivery(kind, request.peer_ip, responder);
     }
   }
@@ -184,6 +185,9 @@
         {.document = DocumentIdOf(kind), .detail = copy.error().detail});
     return;
   }
+  for (stored_object& object : copy.value().objects) {
+    TakeApart(kind, object);
+  }
   store_.ApplyPeerCopy(kind, std::move(copy.value()));
 }
 
--- a/src/trefoilmill_entry/store_feeds.cc
+++ b/src/trefoilmill_entry/store_feeds.cc
@@ -9,6 +9,7 @@
 
 #include "trefoilmill/wire/log_messages.h"
 #include "trefoilmill_entry/object_digests.h"
+#include "trefoilmill_entry/object_parts.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -28,20 +29,25 @@
                          [](const object_event& event) {
                            return fed_object{.name = event.object.name,
                                              .at = event.object.at,
-                                             .content = event.object.content,
+                                             .content = TextOf(event.object),
                                              .deleted = event.deleted};
                          });
   return fed;
 }
 
 /// The changes that a feed carries, which lead to revision `as_of`.
-object_changes ChangesOf(const store_feed& feed, revision as_of) {
+object_changes ChangesOf(const store_feed& feed,
+                         object_kind kind,
+                         revision as_of) {
   object_changes changes{.events = {}, .as_of = as_of};
   for (const fed_object& object : feed.changes) {
-    changes.events.push_back({.object = {.name = object.name,
-                                         .at = object.at,
-                                         .content = object.content},
-                              .deleted = object.deleted});
+    stored_object fed{
+        .name = object.name, .at = object.at, .content = object.content};
+    if (!object.deleted) {
+      TakeApart(kind, fed);
+    }
+    changes.events.push_back(
+        {.object = std::move(fed), .deleted = object.deleted});
   }
   return changes;
 }
@@ -49,7 +55,7 @@
 std::size_t ContentBytes(const object_changes& changes) {
   std::size_t bytes = 0;
   for (const object_event& event : changes.events) {
-    bytes += event.object.content.size();
+    bytes += TextOf(event.object).size();
   }
   return bytes;
 }
@@ -151,7 +157,7 @@
     return;
   }
   if (feed.kind == DocumentIdOf(kind)) {
-    store_.ApplyPeerChanges(kind, feed.from, ChangesOf(feed, *in_force));
+    store_.ApplyPeerChanges(kind, feed.from, ChangesOf(feed, kind, *in_force));
   }
   copies_.OnFed(kind,
                 {.at = *in_force,
