--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -19,3 +19,6 @@
 
 add_library(tm_xxhash INTERFACE)
 target_link_libraries(tm_xxhash INTERFACE xxhash)
+
+add_library(tm_zstd INTERFACE)
+target_link_libraries(tm_zstd INTERFACE zstd)
--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -20,6 +20,7 @@
 #include "trefoilmill/process/rollout_table.h"
 #include "trefoilmill/time.h"
 #include "trefoilmill/verdict.h"
+#include "trefoilmill/version/part_set.h"
 
 namespace trefoilmill {
 
@@ -198,6 +199,20 @@
   revision from;
   std::vector<fed_object> changes;
 };
+
+/// An object_patch, sent ahead of the feed that states the new revision. Feeds
+/// carry whole objects only of kinds that are not taken apart.
+struct object_patch_message {
+  /// The kind of object.
+  document_id kind;
+  std::string name;
+  revision at;
+  std::uint64_t base_digest = 0;
+  std::uint64_t digest = 0;
+  std::vector<part_digest> removed;
+  /// The added parts, see EncodeParts().
+  std::string added;
+};
 /// @}
 
 /// An endpoint that told the sender that it is leaving.
@@ -291,7 +306,8 @@
                                   rollout_stage_message,
                                   quota_request_message,
                                   quota_grant_message,
-                                  organisation_demand_message>;
+                                  organisation_demand_message,
+                                  object_patch_message>;
 
 }  // namespace trefoilmill
 
--- a/src/include/trefoilmill/version/stored_object.h
+++ b/src/include/trefoilmill/version/stored_object.h
@@ -3,6 +3,7 @@
 #ifndef TREFOILMILL_VERSION_STORED_OBJECT_H_
 #define TREFOILMILL_VERSION_STORED_OBJECT_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <variant>
@@ -53,6 +54,19 @@
   }
 };
 
+/// A newer version of an object whose content is taken apart, as what differs
+/// from another version.
+struct object_patch {
+  std::string name;
+  revision at;
+  /// Digest of the parts that it applies to.
+  std::uint64_t base_digest = 0;
+  /// Digest of the parts that it leads to.
+  std::uint64_t digest = 0;
+  std::vector<part_digest> removed;
+  std::vector<shared_part> added;
+};
+
 /// A write or deletion of one object.
 struct object_event {
   stored_object object;
--- a/src/libtmwire/peer_codec.cc
+++ b/src/libtmwire/peer_codec.cc
@@ -282,6 +282,8 @@
     fields(r.endpoint, r.started_ms, r.per_thousand_seconds, r.age);
   } else if constexpr (kIs<store_feed, record>) {
     fields(r.fresh, r.documents, r.kind, r.from, r.changes);
+  } else if constexpr (kIs<object_patch_message, record>) {
+    fields(r.kind, r.name, r.at, r.base_digest, r.digest, r.removed, r.added);
   } else if constexpr (kIs<rollout_order, record>) {
     fields(r.service, r.target, r.length);
   } else if constexpr (kIs<evidence_total, record>) {
--- a/src/libtmwire/peer_codec_test.cc
+++ b/src/libtmwire/peer_codec_test.cc
@@ -133,7 +133,12 @@
           .news = {{.order = {}, .stage = rollout_stage::kRamp}}},
       quota_request_message{},
       quota_grant_message{},
-      organisation_demand_message{}};
+      organisation_demand_message{},
+      object_patch_message{.kind = document_id("configuration"),
+                           .name = "main",
+                           .base_digest = ~std::uint64_t{0},
+                           .removed = {part_digest(7)},
+                           .added = std::string("\0\xff", 2)}};
   BOOST_TEST(messages.size() == std::variant_size_v<peer_message>);
   for (const auto& message : messages) {
     const auto frame = DecodePeerFrame(EncodePeerFrame({.message = message}));
--- a/src/libtmwire/wire_corpus_test.cc
+++ b/src/libtmwire/wire_corpus_test.cc
@@ -9,6 +9,7 @@
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill/wire/document_splitter.h"
 #include "trefoilmill/wire/entry_settings_codec.h"
+#include "trefoilmill/wire/part_codec.h"
 #include "trefoilmill/wire/peer_codec.h"
 #include "trefoilmill/wire/quarantine_codec.h"
 #include "trefoilmill/wire/settings_codec.h"
@@ -85,6 +86,19 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(parts_request_decoder) {
+  ReplayCorpus("parts_request", [](const std::string& bytes) {
+    return Reencoded(DecodePartsRequest(bytes), EncodePartsRequest,
+                     DecodePartsRequest);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(parts_page_decoder) {
+  ReplayCorpus("parts_page", [](const std::string& bytes) {
+    return Reencoded(DecodePartsPage(bytes), EncodePartsPage, DecodePartsPage);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(host_record_decoder) {
   ReplayCorpus("host_record", [](const std::string& text) {
     return Reencoded(ReadHostRecord(text), WriteHostRecord, ReadHostRecord);
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -189,6 +189,31 @@
   return out;
 }
 
+bool store_follower::OnPeerPatch(const object_patch& patch, actions& out) {
+  const auto found = objects_.find(patch.name);
+  if (patch.at <= as_of_ || found == objects_.end() ||
+      found->second.parts == nullptr ||
+      found->second.parts->digest() != patch.base_digest) {
+    return false;
+  }
+  auto patched = std::make_shared<part_set>(*found->second.parts);
+  for (const part_digest digest : patch.removed) {
+    patched->Erase(digest);
+  }
+  for (const shared_part& added : patch.added) {
+    patched->Insert(added);
+  }
+  if (patched->digest() != patch.digest) {
+    return false;
+  }
+  found->second.at = patch.at;
+  found->second.parts = std::move(patched);
+  as_of_ = patch.at;
+  changed_at_ = patch.at;
+  out.emplace_back(object_changed{{.object = found->second, .deleted = false}});
+  return true;
+}
+
 store_follower::actions store_follower::OnStoreRestored(store_era era) {
   list_after_.clear();
   list_items_.clear();
--- a/src/libtrefoilmill/version/store_follower_test.cc
+++ b/src/libtrefoilmill/version/store_follower_test.cc
@@ -300,4 +300,71 @@
       follower.OnPeerCopy({.as_of = revision(99), .objects = {}}).empty());
 }
 
+namespace {
+
+/// An object of the given parts.
+stored_object PartedObject(std::uint64_t at, const std::vector<int>& numbers) {
+  stored_object object{.name = "main", .at = revision(at)};
+  auto parts = std::make_shared<part_set>();
+  for (const int number : numbers) {
+    parts->Insert(std::make_shared<const part>("list[]", revision(),
+                                               std::to_string(number)));
+  }
+  object.parts = std::move(parts);
+  return object;
+}
+
+object_patch PatchBetween(const stored_object& before,
+                          const stored_object& after) {
+  auto difference = part_set::Difference(*before.parts, *after.parts);
+  return {.name = after.name,
+          .at = after.at,
+          .base_digest = before.parts->digest(),
+          .digest = after.parts->digest(),
+          .removed = difference.removed,
+          .added = difference.added};
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_patch_leads_to_the_next_version, fixture) {
+  const stored_object before = PartedObject(5, {1, 2, 3});
+  const stored_object after = PartedObject(8, {1, 3, 4});
+  List({before}, 6);
+  store_follower::actions actions;
+  BOOST_TEST(follower.OnPeerPatch(PatchBetween(before, after), actions));
+  BOOST_TEST((follower.objects().at("main") == after));
+  BOOST_TEST((follower.as_of() == revision(8)));
+  BOOST_TEST((follower.changed_at() == revision(8)));
+  const auto* changed = Find<store_follower::object_changed>(actions);
+  BOOST_TEST_REQUIRE(changed != nullptr);
+  BOOST_TEST((changed->event.object == after));
+}
+
+// A host that missed a version, has a newer one, or whose store went back
+// applies no patch to another content than the one that the patch starts from.
+BOOST_FIXTURE_TEST_CASE(a_patch_for_another_version_changes_nothing, fixture) {
+  const stored_object missed = PartedObject(7, {1, 2, 9});
+  const stored_object mine = PartedObject(5, {1, 2, 3});
+  const stored_object next = PartedObject(8, {1, 2, 9, 10});
+  List({mine}, 6);
+  store_follower::actions actions;
+  BOOST_TEST(!follower.OnPeerPatch(PatchBetween(missed, next), actions));
+  object_patch old = PatchBetween(mine, next);
+  old.at = revision(6);
+  BOOST_TEST(!follower.OnPeerPatch(old, actions));
+  object_patch incomplete = PatchBetween(mine, next);
+  incomplete.added.pop_back();
+  BOOST_TEST(!follower.OnPeerPatch(incomplete, actions));
+  object_patch other = PatchBetween(mine, next);
+  other.name = "other";
+  BOOST_TEST(!follower.OnPeerPatch(other, actions));
+  BOOST_TEST(actions.empty());
+  BOOST_TEST((follower.objects().at("main") == mine));
+  // The same numbers in a later era are newer.
+  object_patch restored = PatchBetween(mine, next);
+  restored.at = revision(store_era(2), 3);
+  BOOST_TEST(follower.OnPeerPatch(restored, actions));
+}
+
 }  // namespace trefoilmill
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -134,9 +134,9 @@
                 self->OnObjectChanged(kind, event);
               },
           .on_store_changes =
-              [self](object_kind kind, revision from,
-                     const object_changes& changes) {
-                self->peers_->ForwardStoreChanges(kind, from, changes);
+              [self](object_kind kind,
+                     const store_sync::store_changes& changes) {
+                self->peers_->ForwardStoreChanges(kind, changes);
               }},
       std::mt19937_64(random()));
   auto listening = process->Listen();
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -17,6 +17,8 @@
 
 /// Added to the headers of a request that is passed on to another host.
 constexpr std::size_t kForwardingHeaderBytes = 256;
+/// Other hosts' requests for parts have bodies of this size at most.
+constexpr std::size_t kMaxPartsRequestBytes = 16 << 10;
 /// Parts of a configuration that are loaded in one turn of the loop: some
 /// milliseconds of work for a host with an eighth of a core.
 constexpr std::size_t kPartsPerTurn = 64;
@@ -151,8 +153,9 @@
   const duration idle_timeout = limits.idle_timeout * kIdleTimeoutFactor;
   caller_server_->SetLimits(limits.max_header_bytes, limits.max_body_bytes,
                             idle_timeout);
-  peers_->server().SetLimits(limits.max_header_bytes + kForwardingHeaderBytes,
-                             limits.max_body_bytes, idle_timeout);
+  peers_->server().SetLimits(
+      limits.max_header_bytes + kForwardingHeaderBytes,
+      std::max(limits.max_body_bytes, kMaxPartsRequestBytes), idle_timeout);
 }
 
 void entry_process::UpdateZonesOut() {
--- a/src/trefoilmill_entry/object_digests.cc
+++ b/src/trefoilmill_entry/object_digests.cc
@@ -9,6 +9,15 @@
   return document_id(std::string(ToString(kind)));
 }
 
+std::optional<object_kind> KindOf(const document_id& document) {
+  for (const object_kind kind : kObjectKinds) {
+    if (document == DocumentIdOf(kind)) {
+      return kind;
+    }
+  }
+  return std::nullopt;
+}
+
 std::vector<document_digest> DigestsOf(const store_sync& store) {
   std::vector<document_digest> digests;
   for (const object_kind kind : kObjectKinds) {
--- a/src/trefoilmill_entry/object_digests.h
+++ b/src/trefoilmill_entry/object_digests.h
@@ -17,6 +17,9 @@
 /// The document that stands for a kind in digests.
 document_id DocumentIdOf(object_kind kind);
 
+/// The kind that a document stands for; nullopt for any other document.
+std::optional<object_kind> KindOf(const document_id& document);
+
 /// The digests of all kinds that this host has a copy of.
 std::vector<document_digest> DigestsOf(const store_sync& store);
 
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -34,9 +34,9 @@
   created->fleet_ = std::make_unique<fleet_membership>(
       loop, settings, std::move(members.value()), *created->datagrams_,
       process_telemetry, std::move(on_event.on_hosts_changed));
-  auto copies =
-      peer_copies::Listen(loop, settings, store, *created->fleet_,
-                          process_telemetry, std::move(on_event.on_forwarded));
+  auto copies = peer_copies::Listen(
+      loop, settings, store, *created->fleet_, process_telemetry,
+      std::move(on_event.on_forwarded), std::mt19937_64(random()));
   if (!copies.has_value()) {
     return copies.error();
   }
@@ -84,10 +84,10 @@
   fleet_->PublishDigests(DigestsOf(store_));
 }
 
-void peer_gossip::ForwardStoreChanges(object_kind kind,
-                                      revision from,
-                                      const object_changes& changes) {
-  feeds_->ForwardChanges(kind, from, changes);
+void peer_gossip::ForwardStoreChanges(
+    object_kind kind,
+    const store_sync::store_changes& changes) {
+  feeds_->ForwardChanges(kind, changes);
 }
 
 void peer_gossip::ReportDeparture(const endpoint_departure& departure) {
@@ -189,6 +189,9 @@
   void operator()(const store_feed& feed) const {
     gossip.feeds_->OnFeed(from, feed);
   }
+  void operator()(const object_patch_message& patch) const {
+    gossip.feeds_->OnPatch(from, patch);
+  }
   void operator()(const auto& /*of membership*/) const {
     gossip.fleet_->OnMessage(from, message);
   }
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -67,10 +67,9 @@
   /// Tells the other hosts which revisions this host has in force.
   void PublishDigests();
   /// Forwards changes that the store reported to the hosts of the zone, if this
-  /// host watches the store. Changes follow revision `from`.
+  /// host watches the store.
   void ForwardStoreChanges(object_kind kind,
-                           revision from,
-                           const object_changes& changes);
+                           const store_sync::store_changes& changes);
   /// Tells the other hosts that an endpoint is leaving.
   void ReportDeparture(const endpoint_departure& departure);
   /// Tells other hosts under which requests endpoints were found to have ended.
--- a/src/trefoilmill_entry/store_feeds.cc
+++ b/src/trefoilmill_entry/store_feeds.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "trefoilmill/wire/log_messages.h"
+#include "trefoilmill/wire/part_codec.h"
 #include "trefoilmill_entry/object_digests.h"
 #include "trefoilmill_entry/object_parts.h"
 
@@ -21,6 +22,11 @@
 constexpr int kHeartbeatsPerRelist = 40;
 /// Largest total content of the changes in one datagram, in bytes.
 constexpr std::size_t kMaxFeedContentBytes = 16384;
+/// Most removed parts of a patch that is sent in a datagram, of 9 bytes each.
+constexpr std::size_t kMaxPatchRemovals = 500;
+/// Most added text of a patch that is worth compressing to see whether it fits
+/// into a datagram, in bytes.
+constexpr std::size_t kMaxPatchTextBytes = 16 * kMaxFeedContentBytes;
 
 /// The changes in the form in which feeds carry them.
 std::vector<fed_object> FedObjects(const object_changes& changes) {
@@ -29,13 +35,14 @@
                          [](const object_event& event) {
                            return fed_object{.name = event.object.name,
                                              .at = event.object.at,
-                                             .content = TextOf(event.object),
+                                             .content = event.object.content,
                                              .deleted = event.deleted};
                          });
   return fed;
 }
 
-/// The changes that a feed carries, which lead to revision `as_of`.
+/// The changes that a feed carries, which lead to revision `as_of`. Hosts of
+/// earlier versions send configurations whole.
 object_changes ChangesOf(const store_feed& feed,
                          object_kind kind,
                          revision as_of) {
@@ -52,10 +59,31 @@
   return changes;
 }
 
+/// What turns the parts of one object into those of another.
+object_patch PatchBetween(const stored_object& before,
+                          const stored_object& after) {
+  part_set::difference difference =
+      part_set::Difference(*before.parts, *after.parts);
+  return {.name = after.name,
+          .at = after.at,
+          .base_digest = before.parts->digest(),
+          .digest = after.parts->digest(),
+          .removed = std::move(difference.removed),
+          .added = std::move(difference.added)};
+}
+
+std::size_t TextBytes(const std::vector<shared_part>& parts) {
+  std::size_t bytes = 0;
+  for (const shared_part& p : parts) {
+    bytes += p->text().size();
+  }
+  return bytes;
+}
+
 std::size_t ContentBytes(const object_changes& changes) {
   std::size_t bytes = 0;
   for (const object_event& event : changes.events) {
-    bytes += TextOf(event.object).size();
+    bytes += event.object.content.size();
   }
   return bytes;
 }
@@ -118,21 +146,80 @@
 }
 
 void store_feeds::ForwardChanges(object_kind kind,
-                                 revision from,
-                                 const object_changes& changes) {
+                                 const store_sync::store_changes& reported) {
   if (!is_watching()) {
     return;
   }
-  store_feed feed{.fresh = true, .documents = DigestsOf(store_), .from = from};
-  // Changes too large for a datagram are left out: the digests make the other
-  // hosts fetch a copy.
-  if (ContentBytes(changes) <= kMaxFeedContentBytes) {
+  BroadcastPatches(kind, reported);
+  store_feed feed{
+      .fresh = true, .documents = DigestsOf(store_), .from = reported.from};
+  // Changes too large for a datagram are left out, and so are objects that are
+  // taken apart: the digests make the other hosts fetch what they lack.
+  const bool is_whole = std::ranges::none_of(
+      reported.changes.events,
+      [](const object_event& e) { return e.object.parts != nullptr; });
+  if (is_whole && ContentBytes(reported.changes) <= kMaxFeedContentBytes) {
     feed.kind = DocumentIdOf(kind);
-    feed.changes = FedObjects(changes);
+    feed.changes = FedObjects(reported.changes);
   }
   Broadcast(feed);
 }
 
+void store_feeds::BroadcastPatches(object_kind kind,
+                                   const store_sync::store_changes& reported) {
+  for (const stored_object& before : reported.replaced) {
+    const auto& objects = store_.Follower(kind).objects();
+    const auto after = objects.find(before.name);
+    if (after == objects.end() || after->second.parts == nullptr) {
+      continue;
+    }
+    object_patch patch = PatchBetween(before, after->second);
+    if (patch.removed.size() > kMaxPatchRemovals ||
+        TextBytes(patch.added) > kMaxPatchTextBytes) {
+      continue;
+    }
+    object_patch_message message{.kind = DocumentIdOf(kind),
+                                 .name = patch.name,
+                                 .at = patch.at,
+                                 .base_digest = patch.base_digest,
+                                 .digest = patch.digest,
+                                 .removed = std::move(patch.removed),
+                                 .added = EncodeParts(patch.added)};
+    if (message.added.size() <= kMaxFeedContentBytes) {
+      const auto receivers = fleet_.NearbyHosts();
+      telemetry_.meter->Increment(
+          metric::kPeerBytes, {"patches", "out"},
+          static_cast<double>(message.added.size() * receivers.size()));
+      datagrams_.SendToAll(receivers, message);
+    }
+  }
+}
+
+void store_feeds::OnPatch(const host_id& from,
+                          const object_patch_message& message) {
+  const auto kind = KindOf(message.kind);
+  auto added = DecodeParts(message.added);
+  if (!kind.has_value() || !added.has_value()) {
+    telemetry_.log->Warning("malformed patch from a peer ignored",
+                            {.peer = from, .document = message.kind});
+    return;
+  }
+  const bool applied =
+      store_.ApplyPeerPatch(*kind, {.name = message.name,
+                                    .at = message.at,
+                                    .base_digest = message.base_digest,
+                                    .digest = message.digest,
+                                    .removed = message.removed,
+                                    .added = std::move(added.value())});
+  telemetry_.log->Info(
+      applied ? "patch from a peer applied"
+              : "patch from a peer is not for the version in force; ignored",
+      {.peer = from,
+       .document = message.kind,
+       .at = message.at,
+       .inputs = {{"bytes", static_cast<std::int64_t>(message.added.size())}}});
+}
+
 void store_feeds::Broadcast(const store_feed& feed) {
   datagrams_.SendToAll(fleet_.NearbyHosts(), feed);
 }
--- a/src/trefoilmill_entry/store_feeds.h
+++ b/src/trefoilmill_entry/store_feeds.h
@@ -32,13 +32,14 @@
 
   /// Starts the regular review and the regular feeds.
   void Start();
-  /// Forwards changes that the store reported, if this host watches the store.
-  /// The changes follow revision `from`.
+  /// Forwards changes that the store reported, if this host watches the store:
+  /// whole objects, and only what differs of those that are taken apart.
   void ForwardChanges(object_kind kind,
-                      revision from,
-                      const object_changes& changes);
+                      const store_sync::store_changes& changes);
   /// Applies a feed from another host.
   void OnFeed(const host_id& from, const store_feed& feed);
+  /// Applies a patch from another host.
+  void OnPatch(const host_id& from, const object_patch_message& message);
 
  private:
   /// Decides whether this host watches the store. If so, tells the other hosts
@@ -47,6 +48,10 @@
   /// Makes this host watch the store or leave it to its peers.
   void ReviewWatching();
   bool is_watching() const { return watching_.value_or(false); }
+  /// Sends patches of the changed objects that are taken apart. What differs
+  /// too much for a datagram is left to be fetched.
+  void BroadcastPatches(object_kind kind,
+                        const store_sync::store_changes& changes);
   /// Sends a feed to all hosts that it concerns.
   void Broadcast(const store_feed& feed);
   /// Applies what a feed says of one kind of object.
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -153,6 +153,15 @@
              followed.follower.OnPeerChanges(from, std::move(changes)));
 }
 
+bool store_sync::ApplyPeerPatch(object_kind kind, const object_patch& patch) {
+  ObserveEra(patch.at.era());
+  followed_kind& followed = *followed_kinds_.at(kind);
+  store_follower::actions actions;
+  const bool applied = followed.follower.OnPeerPatch(patch, actions);
+  RunActions(followed, actions);
+  return applied;
+}
+
 void store_sync::ApplyPeerCopy(object_kind kind, store_follower::copy copy) {
   ObserveEra(copy.as_of.era());
   followed_kind& followed = *followed_kinds_.at(kind);
@@ -283,17 +292,31 @@
 }
 
 void store_sync::OnWatchEnded(followed_kind& followed, watch_result result) {
-  const revision from = followed.follower.changed_at();
-  std::optional<object_changes> store_changes;
+  std::optional<store_changes> reported;
   if (const auto* changes = std::get_if<object_changes>(&result);
       changes != nullptr && !changes->events.empty()) {
-    store_changes = *changes;
+    reported = {.from = followed.follower.changed_at(),
+                .changes = *changes,
+                .replaced = ReplacedObjects(followed.follower, *changes)};
   }
   RunActions(followed,
              followed.follower.OnWatch(loop_.Now(), std::move(result)));
-  if (store_changes.has_value()) {
-    callbacks_.on_store_changes(followed.kind, from, *store_changes);
+  if (reported.has_value()) {
+    callbacks_.on_store_changes(followed.kind, *reported);
+  }
+}
+
+std::vector<stored_object> store_sync::ReplacedObjects(
+    const store_follower& follower,
+    const object_changes& changes) {
+  std::vector<stored_object> replaced;
+  for (const object_event& event : changes.events) {
+    const auto found = follower.objects().find(event.object.name);
+    if (found != follower.objects().end() && found->second.parts != nullptr) {
+      replaced.push_back(found->second);
+    }
   }
+  return replaced;
 }
 
 void store_sync::RunAction(followed_kind& followed,
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -27,15 +27,22 @@
 /// retried; none is reported to the owner.
 class store_sync {
  public:
+  /// Changes that the store reported.
+  struct store_changes {
+    /// They follow this revision.
+    revision from;
+    object_changes changes;
+    /// The objects that they replace, of those that are taken apart into parts.
+    std::vector<stored_object> replaced;
+  };
+
   struct callbacks {
     /// All objects of a kind were replaced.
     std::function<void(object_kind)> on_replaced;
     /// One object was written or deleted.
     std::function<void(object_kind, const object_event&)> on_changed;
-    /// The store, rather than a peer, reported changes that follow revision
-    /// `from`.
-    std::function<void(object_kind, revision from, const object_changes&)>
-        on_store_changes;
+    /// The store, rather than a peer, reported changes.
+    std::function<void(object_kind, const store_changes&)> on_store_changes;
   };
 
   /// Calls the store at `store` from the address `local_ip`. Orders of
@@ -82,6 +89,9 @@
   void ApplyPeerChanges(object_kind kind,
                         revision from,
                         object_changes changes);
+  /// Applies a peer's patch to the object that it is for. Returns whether this
+  /// host had the version that the patch starts from.
+  bool ApplyPeerPatch(object_kind kind, const object_patch& patch);
   /// Applies a peer's copy if it is newer than the local one.
   void ApplyPeerCopy(object_kind kind, store_follower::copy copy);
   /// The store, or a peer, is in `era`. A later one than before means that the
@@ -121,6 +131,10 @@
                                          std::string_view call,
                                          http_result exchange);
   void OnWatchEnded(followed_kind& followed, watch_result result);
+  /// The present versions of changed objects that are taken apart.
+  static std::vector<stored_object> ReplacedObjects(
+      const store_follower& follower,
+      const object_changes& changes);
   /// Writes the announced object again unless the store has it in this era.
   void RestoreAnnouncement();
   void OnCallFailed(followed_kind& followed, const failure& error);
