A test of replies that end within their head

It does not happen here: over real sockets every prefix of a head, ended by a close or a reset, is a failure, also where the end of the connection may end a body.

--- a/src/libtmnet/http_connection_test.cc
+++ b/src/libtmnet/http_connection_test.cc
@@ -22,8 +22,9 @@
   int closed_count = 0;
   std::vector<http_result> exchanges;
 
-  void Connect(std::uint16_t port) {
-    connection = http_connection::Create(*loop, {kTestIp, port}, {});
+  void Connect(std::uint16_t port,
+               const http_connection::options& options = {}) {
+    connection = http_connection::Create(*loop, {kTestIp, port}, options);
     connection->OnClosed([this] { ++closed_count; });
     connection->Connect([this](bool success) { connected = success; });
     BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return connected.has_value(); }));
@@ -156,6 +157,26 @@
   BOOST_TEST(!connection->connected());
 }
 
+// A reply that ends within its head must not look like a whole one with an
+// empty or short body, also where the end of a connection may end a body.
+BOOST_FIXTURE_TEST_CASE(a_close_or_reset_within_the_head_is_a_failure,
+                        fixture) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTrefoilmill-Server-Stamp: 3e1b.07\r\n"
+      "Content-Type: text/plain\r\n\r\n";
+  for (const raw_server_action action :
+       {raw_server_action::kClose, raw_server_action::kReset}) {
+    for (std::size_t size = 1; size < head.size(); ++size) {
+      raw_server peer(*loop, head.substr(0, size), action);
+      connected.reset();
+      Connect(peer.port(), {.accept_close_delimited = true});
+      const http_result exchange = SendAndWait();
+      BOOST_TEST(!exchange.response.has_value(), head.substr(0, size));
+      BOOST_TEST(!connection->connected());
+    }
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(close_delimited_body_is_malformed_by_default, fixture) {
   raw_server peer(*loop, "HTTP/1.1 200 OK\r\n\r\nok",
                   raw_server_action::kClose);
