--- a/src/include/trefoilmill/version/part_set.h
+++ b/src/include/trefoilmill/version/part_set.h
@@ -74,6 +74,8 @@
   /// Hash of the whole content, independent of order.
   std::uint64_t digest() const { return digest_; }
   bool Contains(part_digest digest) const;
+  /// Whether any part has this section. Looks at parts until it finds one.
+  bool HasSection(const std::string& section) const;
   /// The parts of one bucket.
   const bucket& Bucket(std::size_t index) const { return buckets_.At(index); }
   /// Short hash of one bucket's content; 0 if it is empty.
--- a/src/include/trefoilmill/version/route_table.h
+++ b/src/include/trefoilmill/version/route_table.h
@@ -37,7 +37,7 @@
   /// two routes have the same host name and prefix, the one whose id is smaller
   /// takes effect, in whichever order they were added.
   static result<std::shared_ptr<const route_table>> Create(
-      const routing_config& config);
+      routing_config config);
 
   /// @name Changes, for a table that no request uses yet
   /// @{
--- a/src/libtrefoilmill/version/part_set.cc
+++ b/src/libtrefoilmill/version/part_set.cc
@@ -95,6 +95,17 @@
   return HasDigest(Bucket(BucketOf(digest)), digest);
 }
 
+bool part_set::HasSection(const std::string& section) const {
+  for (std::size_t index = 0; index < kBuckets; ++index) {
+    if (std::ranges::any_of(Bucket(index), [&](const shared_part& p) {
+          return p->section() == section;
+        })) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::uint32_t part_set::BucketDigest(std::size_t index) const {
   std::uint64_t sum = 0;
   for (const shared_part& p : Bucket(index)) {
--- a/src/libtrefoilmill/version/route_table.cc
+++ b/src/libtrefoilmill/version/route_table.cc
@@ -92,22 +92,22 @@
 }
 
 result<std::shared_ptr<const route_table>> route_table::Create(
-    const routing_config& config) {
+    routing_config config) {
   auto table = std::make_shared<route_table>();
   table->SetVersion(config.version);
   table->SetCallerLimits(config.callers);
-  for (const route& r : config.routes) {
-    auto added = table->Add(std::make_shared<const route>(r));
+  for (route& r : config.routes) {
+    auto added = table->Add(std::make_shared<const route>(std::move(r)));
     if (!added.has_value()) {
       return added.error();
     }
   }
-  for (const auto& [id, settings] : config.services) {
+  for (auto& [id, settings] : config.services) {
     table->Add(std::make_shared<const service_entry>(
-        service_entry{.id = id, .settings = settings}));
+        service_entry{.id = id, .settings = std::move(settings)}));
   }
-  for (const organisation& o : config.organisations) {
-    auto added = table->Add(std::make_shared<const organisation>(o));
+  for (organisation& o : config.organisations) {
+    auto added = table->Add(std::make_shared<const organisation>(std::move(o)));
     if (!added.has_value()) {
       return added.error();
     }
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -1,5 +1,5 @@
-/// How the entry process applies changes of the configuration, the endpoints,
-/// the zones that are out and the hosts, and updates this host's shares.
+/// How the entry process applies changes of the endpoints, the zones that are
+/// out and the hosts, and updates this host's shares.
 #include <algorithm>
 #include <ranges>
 #include <utility>
@@ -15,14 +15,6 @@
 namespace trefoilmill::entry {
 namespace {
 
-/// Added to the headers of a request that is passed on to another host.
-constexpr std::size_t kForwardingHeaderBytes = 256;
-/// Other hosts' requests for parts have bodies of this size at most.
-constexpr std::size_t kMaxPartsRequestBytes = 16 << 10;
-/// Parts of a configuration that are loaded in one turn of the loop: some
-/// milliseconds of work for a host with an eighth of a core.
-constexpr std::size_t kPartsPerTurn = 64;
-
 /// Whether a listed record tells more than what is known of the endpoint.
 bool IsNews(const endpoint_registry::entry* known,
             const endpoint_record& listed) {
@@ -73,91 +65,6 @@
   peers_->PublishDigests();
 }
 
-void entry_process::UpdateConfiguration() {
-  const auto& objects = store_->Follower(object_kind::kConfiguration).objects();
-  const auto found = objects.find(platform::kConfigurationObjectName);
-  if (found == objects.end()) {
-    return;
-  }
-  const stored_object& object = found->second;
-  if (object.parts == nullptr) {
-    const auto malformed = platform::SplitConfiguration(object.content);
-    OnLoadStep(configuration_loader::refused{
-        .at = object.at,
-        .error = malformed.has_value() ? failure{} : malformed.error()});
-    return;
-  }
-  configuration_.SetTarget(*object.parts, object.at);
-  LoadConfiguration();
-}
-
-void entry_process::LoadConfiguration() {
-  std::visit([this](const auto& step) { OnLoadStep(step); },
-             configuration_.Step(kPartsPerTurn));
-}
-
-void entry_process::OnLoadStep(
-    const configuration_loader::in_progress& /*step*/) {
-  if (configuration_.has_target()) {
-    load_timer_ =
-        loop_.RunAfter(duration::zero(), [this] { LoadConfiguration(); });
-  }
-}
-
-void entry_process::OnLoadStep(const configuration_loader::loaded& step) {
-  const bool is_first = route_table_ == nullptr;
-  route_table_ = step.table;
-  telemetry_.log->Info(
-      log_message::kConfigurationInForce,
-      {.at = step.at,
-       .inputs = {
-           {"version",
-            static_cast<std::int64_t>(route_table_->version().value())},
-           {"routes", static_cast<std::int64_t>(route_table_->route_count())},
-           {"changed_parts", static_cast<std::int64_t>(step.changed_parts)}}});
-  telemetry_.meter->Set(metric::kConfigurationVersion,
-                        static_cast<double>(route_table_->version().value()));
-  ApplyCallerLimits(route_table_->callers());
-  requests_->SetRouteTable(route_table_);
-  peers_->quotas().SetRouteTable(route_table_);
-  if (step.organisations_changed) {
-    shared_state_.shares.SetWeights(route_table_->OrganisationsWithoutKeys());
-  }
-  if (is_first) {
-    hosts_changed_ = true;
-    ApplyHostChanges();
-  }
-  if (is_first || step.services_changed) {
-    UpdateConnectionLimits();
-  }
-  ReportReadiness();
-}
-
-void entry_process::OnLoadStep(const configuration_loader::refused& step) {
-  telemetry_.log->Error(log_message::kConfigurationRefused,
-                        {.at = step.at,
-                         .reason = step.error.reason,
-                         .detail = step.error.detail});
-}
-
-void entry_process::OnLoadStep(const configuration_loader::outdated& step) {
-  telemetry_.log->Warning(
-      "older configuration ignored; the newer one stays in force",
-      {.at = step.at,
-       .inputs = {{"version", static_cast<std::int64_t>(step.version.value())},
-                  {"version_in_force", static_cast<std::int64_t>(
-                                           route_table_->version().value())}}});
-}
-
-void entry_process::ApplyCallerLimits(const caller_limits& limits) {
-  const duration idle_timeout = limits.idle_timeout * kIdleTimeoutFactor;
-  caller_server_->SetLimits(limits.max_header_bytes, limits.max_body_bytes,
-                            idle_timeout);
-  peers_->server().SetLimits(
-      limits.max_header_bytes + kForwardingHeaderBytes,
-      std::max(limits.max_body_bytes, kMaxPartsRequestBytes), idle_timeout);
-}
-
 void entry_process::UpdateZonesOut() {
   const store_follower& follower = store_->Follower(object_kind::kZonesOut);
   std::set<zone_id> listed;
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -109,6 +109,10 @@
   bool is_fresh() const;
 
  private:
+  /// Limit of a call that the store answers immediately. A slow store takes a
+  /// few tenths of a second.
+  static constexpr duration kCallTimeout = std::chrono::milliseconds(2000);
+
   struct followed_kind;
 
   /// Whether this deployment uses the kind.
