--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -3,6 +3,7 @@
 #ifndef TREFOILMILL_ENTRY_ENTRY_PROCESS_H_
 #define TREFOILMILL_ENTRY_ENTRY_PROCESS_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -74,6 +75,9 @@
   void UpdateHosts();
   void UpdateEndpoints();
   void UpdateEndpoint(const stored_object& object);
+  /// Decodes an endpoint's record, unless it was decoded at this revision
+  /// before: a fetched copy holds mostly records that this host has.
+  result<endpoint_record> DecodeEndpoint(const stored_object& object);
   /// Logs an endpoint that is new or has changed.
   void LogAnnounced(const endpoint_record& record, revision at);
   /// An endpoint's own reply said that it is leaving.
@@ -129,6 +133,11 @@
   /// Hosts may have changed since the last ApplyHostChanges().
   bool hosts_changed_ = false;
   bool endpoints_known_ = false;
+  struct decoded_endpoint {
+    revision at;
+    endpoint_record record;
+  };
+  std::map<std::string, decoded_endpoint> decoded_endpoints_;
   /// The store's list of hosts is known.
   bool hosts_listed_ = false;
   time_point started_at_;
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -58,6 +58,7 @@
     const endpoint_id id(event.object.name);
     telemetry_.log->Info(log_message::kEndpointWithdrawn,
                          {.endpoint = id, .at = event.object.at});
+    decoded_endpoints_.erase(event.object.name);
     ApplyEndpointChanges(shared_state_.registry.Withdraw(loop_.Now(), id));
   } else {
     UpdateEndpoint(event.object);
@@ -142,12 +143,29 @@
                         .detail = "reported by a peer"});
 }
 
+result<endpoint_record> entry_process::DecodeEndpoint(
+    const stored_object& object) {
+  const auto known = decoded_endpoints_.find(object.name);
+  if (known != decoded_endpoints_.end() && known->second.at == object.at) {
+    return known->second.record;
+  }
+  auto record = platform::DecodeEndpoint(object);
+  if (record.has_value()) {
+    decoded_endpoints_[object.name] = {.at = object.at,
+                                       .record = record.value()};
+  }
+  return record;
+}
+
 void entry_process::UpdateEndpoints() {
+  const auto& listed = store_->Follower(object_kind::kEndpoints).objects();
+  std::erase_if(decoded_endpoints_, [&](const auto& decoded) {
+    return !listed.contains(decoded.first);
+  });
   const auto& registry = shared_state_.registry;
   std::vector<endpoint_record> records;
-  for (const stored_object& object : std::views::values(
-           store_->Follower(object_kind::kEndpoints).objects())) {
-    auto record = platform::DecodeEndpoint(object);
+  for (const stored_object& object : std::views::values(listed)) {
+    auto record = DecodeEndpoint(object);
     if (record.has_value()) {
       // The first list is the state at the start, not news.
       if (endpoints_known_ &&
@@ -169,7 +187,7 @@
 }
 
 void entry_process::UpdateEndpoint(const stored_object& object) {
-  auto record = platform::DecodeEndpoint(object);
+  auto record = DecodeEndpoint(object);
   if (!record.has_value()) {
     telemetry_.log->Warning("malformed endpoint record ignored",
                             {.endpoint = endpoint_id(object.name),
