--- a/src/libtrefoilmill/version/configuration_loader_test.cc
+++ b/src/libtrefoilmill/version/configuration_loader_test.cc
@@ -54,6 +54,7 @@
 
   static std::vector<std::string> Routes(int count) {
     std::vector<std::string> routes;
+    routes.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       routes.push_back("route /r" + std::to_string(i) + "/ shelf");
     }
--- a/src/libtrefoilmill/version/copy_fetch_plan_test.cc
+++ b/src/libtrefoilmill/version/copy_fetch_plan_test.cc
@@ -10,8 +10,8 @@
 
 using std::chrono::milliseconds;
 
-const socket_address kFirst{.ip = "10.0.0.1", .port = 1};
-const socket_address kSecond{.ip = "10.0.0.2", .port = 1};
+const socket_address first_peer{.ip = "10.0.0.1", .port = 1};
+const socket_address second_peer{.ip = "10.0.0.2", .port = 1};
 
 struct fixture {
   time_point now{std::chrono::seconds(1)};
@@ -36,29 +36,30 @@
 }  // namespace
 
 BOOST_FIXTURE_TEST_CASE(a_host_without_content_fetches_at_once, fixture) {
-  BOOST_TEST((plan.NextSource(now, false, {kFirst}) == kFirst));
+  BOOST_TEST((plan.NextSource(now, false, {first_peer}) == first_peer));
 }
 
 BOOST_FIXTURE_TEST_CASE(a_patch_has_time_to_arrive_first, fixture) {
-  BOOST_TEST((Wait({kFirst}) >= copy_fetch_plan::config().fetch_delay));
+  BOOST_TEST((Wait({first_peer}) >= copy_fetch_plan::config().fetch_delay));
   plan.OnComplete();
   // The time counts anew for the next version.
   BOOST_TEST(!plan.NextSource(now, true, {}).has_value());
-  BOOST_TEST(!plan.NextSource(now, true, {kFirst}).has_value());
+  BOOST_TEST(!plan.NextSource(now, true, {first_peer}).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(one_fetch_is_in_progress_at_a_time, fixture) {
-  Wait({kFirst});
+  Wait({first_peer});
   now += std::chrono::seconds(1);
-  BOOST_TEST(!plan.NextSource(now, true, {kFirst, kSecond}).has_value());
+  BOOST_TEST(
+      !plan.NextSource(now, true, {first_peer, second_peer}).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(pages_come_from_one_peer_without_delay, fixture) {
   socket_address source;
-  Wait({kFirst, kSecond}, &source);
+  Wait({first_peer, second_peer}, &source);
   for (int page = 0; page < 20; ++page) {
     plan.OnPage();
-    BOOST_TEST((plan.NextSource(now, true, {kFirst, kSecond}) ==
+    BOOST_TEST((plan.NextSource(now, true, {first_peer, second_peer}) ==
                 std::optional(source)));
   }
 }
@@ -66,18 +67,18 @@
 BOOST_FIXTURE_TEST_CASE(a_page_s_source_that_is_no_longer_ahead_is_left,
                         fixture) {
   socket_address source;
-  Wait({kFirst}, &source);
+  Wait({first_peer}, &source);
   plan.OnPage();
-  BOOST_TEST((plan.NextSource(now, true, {kSecond}) == kSecond));
+  BOOST_TEST((plan.NextSource(now, true, {second_peer}) == second_peer));
 }
 
 BOOST_FIXTURE_TEST_CASE(another_peer_is_asked_after_a_failure, fixture) {
   socket_address failed;
-  Wait({kFirst, kSecond}, &failed);
+  Wait({first_peer, second_peer}, &failed);
   for (int times = 0; times < 10; ++times) {
     plan.OnFailed(now);
     socket_address next;
-    BOOST_TEST((Wait({kFirst, kSecond}, &next) < milliseconds(900)));
+    BOOST_TEST((Wait({first_peer, second_peer}, &next) < milliseconds(900)));
     if (times == 0) {
       BOOST_TEST((next != failed));
     }
@@ -88,11 +89,11 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(failures_make_the_delay_grow_up_to_its_limit, fixture) {
-  Wait({kFirst});
+  Wait({first_peer});
   duration last{};
   for (int failures = 0; failures < 12; ++failures) {
     plan.OnFailed(now);
-    last = Wait({kFirst});
+    last = Wait({first_peer});
     BOOST_TEST(
         (last <= copy_fetch_plan::config().max_backoff + milliseconds(10)));
   }
@@ -105,9 +106,9 @@
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     plan = copy_fetch_plan({}, std::mt19937_64(seed));
     now = time_point(std::chrono::seconds(1));
-    Wait({kFirst});
+    Wait({first_peer});
     plan.OnBusy(now);
-    const duration delay = Wait({kFirst});
+    const duration delay = Wait({first_peer});
     delays.insert(delay);
     BOOST_TEST(
         (delay <= copy_fetch_plan::config().busy_delay + milliseconds(10)));
--- a/src/trefoilmill_entry/configuration_fleet_replay_test.cc
+++ b/src/trefoilmill_entry/configuration_fleet_replay_test.cc
@@ -439,7 +439,7 @@
       fleet.HoldEverywhere(Configuration(1, 2850, 0));
       for (int i = 1; i <= kVersions; ++i) {
         fleet.Change(milliseconds(1000 + 600 * i),
-                     static_cast<std::uint64_t>(1 + i),
+                     std::uint64_t{1} + static_cast<std::uint64_t>(i),
                      Configuration(1 + i, 2850, i));
       }
       fleet.RunUntil(milliseconds(12'000));
--- a/src/trefoilmill_entry/peer_copies.cc
+++ b/src/trefoilmill_entry/peer_copies.cc
@@ -239,10 +239,10 @@
     return;
   }
   LogReceived(asked, response.body.size());
-  OnPage(asked, std::move(page.value()));
+  OnPage(asked, page.value());
 }
 
-void peer_copies::OnPage(const fetch& asked, parts_page page) {
+void peer_copies::OnPage(const fetch& asked, const parts_page& page) {
   fetched_kind& fetched = fetched_kinds_.at(asked.kind);
   object_parts& partial = *fetched.partial;
   partial.document = page.document;
--- a/src/trefoilmill_entry/peer_copies.h
+++ b/src/trefoilmill_entry/peer_copies.h
@@ -96,7 +96,7 @@
   /// Fetches all objects, from a host of an earlier version.
   void FetchWhole(const fetch& asked);
   void OnPartsReply(const fetch& asked, const http_result& exchange);
-  void OnPage(const fetch& asked, parts_page page);
+  void OnPage(const fetch& asked, const parts_page& page);
   void OnWholeReply(const fetch& asked, const http_result& exchange);
   void LogFailed(const fetch& asked, std::string_view why) const;
   void LogReceived(const fetch& asked, std::size_t bytes) const;
