--- a/src/trefoilmill_entry/peer_copies_test.cc
+++ b/src/trefoilmill_entry/peer_copies_test.cc
@@ -96,16 +96,18 @@
       *datagrams,
       fetching.process,
       [] {}};
-  std::unique_ptr<peer_copies> copies = std::move(
-      peer_copies::Listen(
-          *loop,
-          settings,
-          fetching.store,
-          fleet,
-          fetching.process,
-          [](const http_request&, const http_responder&, forwarded_mark) {},
-          std::mt19937_64(1))
-          .value());
+  std::unique_ptr<peer_copies> copies =
+      std::move(peer_copies::Listen(
+                    *loop,
+                    settings,
+                    fetching.store,
+                    fleet,
+                    fetching.process,
+                    [](const http_request&,
+                       const http_responder&,
+                       const forwarded_mark&) {},
+                    std::mt19937_64(1))
+                    .value());
   std::vector<std::unique_ptr<http_server>> peers;
   int pages = 0;
   std::size_t page_bytes = 0;
