--- a/src/libtmnet/http_connection_test.cc
+++ b/src/libtmnet/http_connection_test.cc
@@ -162,7 +162,7 @@
 BOOST_FIXTURE_TEST_CASE(a_close_or_reset_within_the_head_is_a_failure,
                         fixture) {
   const std::string head =
-      "HTTP/1.1 200 OK\r\nTrefoilmill-Server-Stamp: 3e1b.07\r\n"
+      "HTTP/1.1 200 OK\r\nX-Signature: 3e1b.07\r\n"
       "Content-Type: text/plain\r\n\r\n";
   for (const raw_server_action action :
        {raw_server_action::kClose, raw_server_action::kReset}) {
--- a/src/trefoilmill_entry/configuration_fleet_replay_test.cc
+++ b/src/trefoilmill_entry/configuration_fleet_replay_test.cc
@@ -47,8 +47,7 @@
   for (int i = 0; i < routes; ++i) {
     const std::size_t name = std::hash<int>()(i) * 0x9e3779b97f4a7c15ULL;
     text += std::string(i == 0 ? "" : ",") + R"({"name":"r)" +
-            std::to_string(name) +
-            R"(","hostname":"shop.example","path_prefix":"/)" +
+            std::to_string(name) + R"(","host":"shop.example","prefix":"/)" +
             std::to_string(name) +
             R"(/","type":"idempotent","timeout_ms":3000,)" +
             R"("slo_ms":1000,"priority":1,"max_attempts":2,"backend":")" +
--- a/src/trefoilmill_entry/peer_copies_test.cc
+++ b/src/trefoilmill_entry/peer_copies_test.cc
@@ -26,8 +26,7 @@
                      ",\"backends\":[],\"routes\":[";
   for (int i = 0; i < routes; ++i) {
     text += std::string(i == 0 ? "" : ",") + R"({"name":"r)" +
-            std::to_string(i) +
-            R"(","hostname":"shop.example","path_prefix":"/r)" +
+            std::to_string(i) + R"(","host":"shop.example","prefix":"/r)" +
             std::to_string(i) + R"(/","type":"idempotent","timeout_ms":3000,)" +
             R"("slo_ms":1000,"priority":1,"max_attempts":2,"backend":")" +
             (i < moved ? "ledger" : "shelf") + "\"}";
@@ -263,10 +262,10 @@
   BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return result.has_value(); }));
   const auto copy = DecodeCopy(result->response->body);
   BOOST_TEST_REQUIRE(copy.has_value());
-  const auto decoded =
-      platform::DecodeConfiguration(copy.value().objects.at(0).content);
-  BOOST_TEST_REQUIRE(decoded.has_value());
-  BOOST_TEST(decoded.value().routes.size() == 50U);
+  const auto parts =
+      platform::SplitConfiguration(copy.value().objects.at(0).content);
+  BOOST_TEST_REQUIRE(parts.has_value());
+  BOOST_TEST((parts.value() == fetching.Parts()));
 }
 
 BOOST_FIXTURE_TEST_CASE(a_busy_peer_is_asked_again, fixture) {
