--- a/src/include/trefoilmill/messages.h
+++ b/src/include/trefoilmill/messages.h
@@ -201,7 +201,7 @@
 };
 
 /// An object_patch, sent ahead of the feed that states the new revision. Feeds
-/// carry whole objects only of kinds that are not taken apart.
+/// carry whole objects only of kinds that are not split into parts.
 struct object_patch_message {
   /// The kind of object.
   document_id kind;
--- a/src/include/trefoilmill/version/part_set.h
+++ b/src/include/trefoilmill/version/part_set.h
@@ -1,4 +1,4 @@
-/// Content taken apart into parts that are named by their digests, so that
+/// Content split into parts that are named by their digests, so that
 /// hosts find what differs between two versions, send each other only that, and
 /// do work only for that.
 #ifndef TREFOILMILL_VERSION_PART_SET_H_
--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -97,9 +97,9 @@
   /// A peer forwarded changes to a copy at revision `from`. They are ignored if
   /// this host's copy is older than `from`, or already as new as the changes.
   actions OnPeerChanges(revision from, object_changes changes);
-  /// A peer sent what differs between two versions of an object that is taken
-  /// apart. Ignored, with a return value of false, unless this host has the
-  /// earlier of the two and the result is what the sender has.
+  /// A peer sent what differs between two versions of an object that is split
+  /// into parts. Ignored, with a return value of false, unless this host has
+  /// the earlier of the two and the result is what the sender has.
   bool OnPeerPatch(const object_patch& patch, actions& out);
   /// A peer sent its copy, which replaces this one if its revision is later.
   actions OnPeerCopy(copy peer);
--- a/src/include/trefoilmill/version/stored_object.h
+++ b/src/include/trefoilmill/version/stored_object.h
@@ -43,7 +43,7 @@
   /// JSON text; see platform::DecodeRollout() for that of an order, which
   /// includes the state that the system writes. Empty if `parts` is set.
   std::string content;
-  /// The content of a configuration, taken apart; null for other kinds.
+  /// The content of a configuration, split into parts; null for other kinds.
   std::shared_ptr<const part_set> parts;
 
   friend bool operator==(const stored_object& a, const stored_object& b) {
@@ -54,8 +54,8 @@
   }
 };
 
-/// A newer version of an object whose content is taken apart, as what differs
-/// from another version.
+/// A newer version of an object whose content is split into parts, as what
+/// differs from another version.
 struct object_patch {
   std::string name;
   revision at;
--- a/src/include/trefoilmill/wire/part_codec.h
+++ b/src/include/trefoilmill/wire/part_codec.h
@@ -29,7 +29,7 @@
   std::vector<shared_part> parts;
 };
 
-/// An object whose content is a document that is taken apart.
+/// An object whose content is a document that is split into parts.
 struct document_place {
   std::string name;
   revision at;
--- a/src/libtmwire/document_splitter_test.cc
+++ b/src/libtmwire/document_splitter_test.cc
@@ -1,4 +1,4 @@
-/// Tests that documents are taken apart and put together without loss.
+/// Tests that documents are split into parts and put together without loss.
 #define BOOST_TEST_MODULE document_splitter
 #include "trefoilmill/wire/document_splitter.h"
 
--- a/src/trefoilmill_entry/object_parts.cc
+++ b/src/trefoilmill_entry/object_parts.cc
@@ -8,7 +8,7 @@
 
 namespace trefoilmill::entry {
 
-void TakeApart(object_kind kind, stored_object& object) {
+void SplitContent(object_kind kind, stored_object& object) {
   if (kind != object_kind::kConfiguration || object.parts != nullptr) {
     return;
   }
--- a/src/trefoilmill_entry/object_parts.h
+++ b/src/trefoilmill_entry/object_parts.h
@@ -1,5 +1,6 @@
 /// Conversions between stored objects and the parts that hosts send each other:
-/// a configuration is taken apart, and each object of another kind is one part.
+/// a configuration is split into parts, and each object of another kind is one
+/// part.
 #ifndef TREFOILMILL_ENTRY_OBJECT_PARTS_H_
 #define TREFOILMILL_ENTRY_OBJECT_PARTS_H_
 
@@ -19,9 +20,9 @@
   std::optional<document_place> document;
 };
 
-/// Takes the content of a configuration apart; leaves objects of other kinds
-/// and malformed content as they are.
-void TakeApart(object_kind kind, stored_object& object);
+/// Splits the content of a configuration into parts; leaves objects of other
+/// kinds and malformed content as they are.
+void SplitContent(object_kind kind, stored_object& object);
 
 /// The parts of a host's objects of one kind.
 object_parts PartsOf(object_kind kind, const store_follower& follower);
--- a/src/trefoilmill_entry/peer_copies.cc
+++ b/src/trefoilmill_entry/peer_copies.cc
@@ -299,7 +299,7 @@
   }
   LogReceived(asked, exchange.response->body.size());
   for (stored_object& object : copy.value().objects) {
-    TakeApart(asked.kind, object);
+    SplitContent(asked.kind, object);
   }
   fetched.partial.reset();
   fetched.plan.OnComplete();
--- a/src/trefoilmill_entry/peer_copies_test.cc
+++ b/src/trefoilmill_entry/peer_copies_test.cc
@@ -38,7 +38,7 @@
   stored_object object{.name = platform::kConfigurationObjectName,
                        .at = revision(at),
                        .content = document};
-  TakeApart(kKind, object);
+  SplitContent(kKind, object);
   BOOST_TEST_REQUIRE(object.parts != nullptr);
   return {.as_of = revision(at), .objects = {object}};
 }
--- a/src/trefoilmill_entry/store_feeds.cc
+++ b/src/trefoilmill_entry/store_feeds.cc
@@ -51,7 +51,7 @@
     stored_object fed{
         .name = object.name, .at = object.at, .content = object.content};
     if (!object.deleted) {
-      TakeApart(kind, fed);
+      SplitContent(kind, fed);
     }
     changes.events.push_back(
         {.object = std::move(fed), .deleted = object.deleted});
@@ -154,7 +154,7 @@
   store_feed feed{
       .fresh = true, .documents = DigestsOf(store_), .from = reported.from};
   // Changes too large for a datagram are left out, and so are objects that are
-  // taken apart: the digests make the other hosts fetch what they lack.
+  // split into parts: the digests make the other hosts fetch what they lack.
   const bool is_whole = std::ranges::none_of(
       reported.changes.events,
       [](const object_event& e) { return e.object.parts != nullptr; });
--- a/src/trefoilmill_entry/store_feeds.h
+++ b/src/trefoilmill_entry/store_feeds.h
@@ -33,7 +33,7 @@
   /// Starts the regular review and the regular feeds.
   void Start();
   /// Forwards changes that the store reported, if this host watches the store:
-  /// whole objects, and only what differs of those that are taken apart.
+  /// whole objects, and only what differs of those that are split into parts.
   void ForwardChanges(object_kind kind,
                       const store_sync::store_changes& changes);
   /// Applies a feed from another host.
@@ -48,8 +48,8 @@
   /// Makes this host watch the store or leave it to its peers.
   void ReviewWatching();
   bool is_watching() const { return watching_.value_or(false); }
-  /// Sends patches of the changed objects that are taken apart. What differs
-  /// too much for a datagram is left to be fetched.
+  /// Sends patches of the changed objects that are split into parts. What
+  /// differs too much for a datagram is left to be fetched.
   void BroadcastPatches(object_kind kind,
                         const store_sync::store_changes& changes);
   /// Sends a feed to all hosts that it concerns.
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -32,7 +32,7 @@
     /// They follow this revision.
     revision from;
     object_changes changes;
-    /// The objects that they replace, of those that are taken apart into parts.
+    /// The objects that they replace, of those that are split into parts.
     std::vector<stored_object> replaced;
   };
 
@@ -135,7 +135,7 @@
                                          std::string_view call,
                                          http_result exchange);
   void OnWatchEnded(followed_kind& followed, watch_result result);
-  /// The present versions of changed objects that are taken apart.
+  /// The present versions of changed objects that are split into parts.
   static std::vector<stored_object> ReplacedObjects(
       const store_follower& follower,
       const object_changes& changes);
