--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,77 +1,121 @@
-"""Searchers in trouble answer without a length: the body ends with the
-connection. Their other headers are as usual. With TROUBLE=0 they state it."""
+"""Requests that crash each searcher that begins to run them, beside other
+requests that run on sound searchers. With TROUBLE=0 they crash none."""
 
+import asyncio
+import itertools
 import pathlib
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
-from harness import TROUBLE, Message, ask, main  # noqa: E402
+from harness import (  # noqa: E402
+    HOSTNAME, TROUBLE, Message, Searcher, ask, main, reset)
 
-REQUESTS = 12
-TOP_K = 50
-RECORD_BYTES = 16
-# What each searcher says of its connections in every answer.
-USUAL = [("Connection", "keep-alive"), ("Keep-Alive", "timeout=15")]
+ROUNDS = 6
+PULLS_PER_ROUND = 3
+# The site file's figures for ledger-pull: 90 ms of work on average, 540 ms at
+# most.
+PULL_WORK_S = 0.45
+CRASH_AFTER_S = 0.04
+DOWN_S = 3.0
+ROUND_S = 6.0
+# "More than three requests of clients run ... on more searchers than their
+# route's max_attempts".
+ALLOWED = 3
 
 
-def records_of(name):
-    return [bytes([200 - n]) + name.encode()[:15].ljust(15, b"-")
-            for n in range(2)]
+class Crashes:
+    """Ends a searcher as a crash does, and starts it again with a new id."""
 
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.ended = set()
+        self.lives = itertools.count(1)
+        self.tasks = []
 
-def answer(run, with_length):
-    body = b"".join(records_of(run.searcher.name))
-    headers = [("Trefoilmill-Request-Id", run.id),
-               ("Trefoilmill-Server-Stamp", f"{run.searcher.name}.{run.id}"),
-               *USUAL]
-    if with_length:
-        headers.append(("Content-Length", len(body)))
-    lines = ["HTTP/1.1 200 OK", *(f"{k}: {v}" for k, v in headers)]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+    def end(self, searcher):
+        if searcher.name in self.ended:
+            return
+        self.ended.add(searcher.name)
+        self.fleet.record(f"crash  {searcher.name}")
+        searcher.server.close()
+        for writer in list(searcher.writers):
+            reset(writer)
+        self.tasks.append(asyncio.create_task(self.start_again(searcher)))
+
+    async def start_again(self, searcher):
+        await asyncio.sleep(DOWN_S)
+        await self.fleet.store.delete("servers", searcher.name)
+        again = Searcher(self.fleet.record, searcher.service,
+                         f"{searcher.name.split('.')[0]}.{next(self.lives)}",
+                         searcher.ip, searcher.port, searcher.zone)
+        again.behave = searcher.behave
+        self.fleet.searchers.append(again)
+        await again.start()
+        await self.fleet.store.put("servers", again.name, again.entry())
 
 
 async def case(fleet):
-    # One searcher of three, of the single service and of one shard.
-    troubled = {fleet.searchers_of(service)[0].name
-                for service in (fleet.single, fleet.shards[0])}
-
-    async def behave(run, _reader, writer):
-        if run.searcher.name not in troubled or not TROUBLE:
-            return answer(run, True)
-        fleet.record(f"answer without length by {run.searcher.name} to "
-                     f"{run.id}")
-        writer.write(answer(run, False))
-        await writer.drain()
-        return None  # Closes the connection, without a reset.
+    crashes = Crashes(fleet)
+
+    async def behave(run, _reader, _writer):
+        if "/deadly" in run.target and TROUBLE:
+            await asyncio.sleep(CRASH_AFTER_S)
+            crashes.end(run.searcher)
+            return "reset"
+        await asyncio.sleep(PULL_WORK_S if run.target.startswith("/pull/")
+                            else run.searcher.work_s)
+        return run.searcher.good_answer(run)
 
     for searcher in fleet.searchers:
         searcher.behave = behave
-    findings = []
-    for number in range(REQUESTS):
+    await fleet.store.put("config", "main", fleet.configuration(12, extra=[{
+        "name": "pull", "hostname": HOSTNAME, "path_prefix": "/pull/",
+        "type": "idempotent", "backend": fleet.single, "timeout_ms": 2000,
+        "slo_ms": 400, "priority": 1, "max_attempts": 1}]))
+
+    async def has_pull():
+        replies = [await ask(fleet.record, e.ip, f"warm-pull-{e.number}",
+                             "/pull/warm") for e in fleet.entries]
+        return all(isinstance(r, Message) and r.status == 200
+                   for r in replies)
+
+    await fleet.until("the route is in force", has_pull)
+    pulls = []
+    for number in range(ROUNDS):
         entry = fleet.entries[number % len(fleet.entries)]
-        identity = f"ledger-{number}"
-        reply = await ask(fleet.record, entry.ip, identity, "/ledger/unit")
-        if isinstance(reply, Message) and reply.status == 200:
-            name = reply.header("Trefoilmill-Server-Stamp").rsplit(".", 1)[0]
-            if reply.body != b"".join(records_of(name)):
-                findings.append(
-                    f"MIXED: {identity}: a success with the stamp of {name} "
-                    f"and {len(reply.body)} bytes; the searcher's body has "
-                    f"{len(records_of(name)) * RECORD_BYTES}")
-        identity = f"sweep-{number}"
-        reply = await ask(fleet.record, entry.ip, identity, "/sweep/unit")
-        if isinstance(reply, Message) and reply.status == 200:
-            stamps = reply.header("Trefoilmill-Part-Stamps").split(", ")
-            names = [stamp.rsplit(".", 1)[0] for stamp in stamps]
-            records = sorted((r for name in names for r in records_of(name)),
-                             reverse=True)
-            if reply.body != b"".join(records[:TOP_K]):
-                findings.append(
-                    f"MIXED: {identity}: the body lacks records of "
-                    f"{troubled.intersection(names)}, which its "
-                    "Trefoilmill-Part-Stamps name")
-    return findings
-
-
-main(FOLDER, case)
+        began = time.monotonic()
+        asked = []
+        for which in range(PULLS_PER_ROUND):
+            identity = f"pull-{number}-{which}"
+            pulls.append(identity)
+            asked.append(ask(fleet.record, entry.ip, identity,
+                             f"/pull/unit-{which}"))
+        asked.append(later(0.05, ask(fleet.record, entry.ip,
+                                     f"sweep-{number}",
+                                     f"/sweep/deadly-{number}")))
+        await asyncio.gather(*asked)
+        await asyncio.sleep(max(0, ROUND_S - (time.monotonic() - began)))
+    await asyncio.gather(*crashes.tasks)
+    over = {}
+    for identity in pulls:
+        ran_on = [run.searcher.name for run in Searcher.runs
+                  if run.id == identity]
+        if len(set(ran_on)) > 1 and not crashes.ended.intersection(ran_on):
+            over[identity] = ran_on
+    fleet.record(f"{len(over)} of {len(pulls)} requests ran on more searchers "
+                 f"than their route allows: {over}")
+    if len(over) > ALLOWED:
+        return [f"BUDGET: {len(over)} of {len(pulls)} requests of a route "
+                f"with max_attempts 1 ran on two searchers, none of which "
+                f"ended, such as {next(iter(over.items()))}"]
+    return []
+
+
+async def later(delay_s, task):
+    await asyncio.sleep(delay_s)
+    return await task
+
+
+main(FOLDER, case, shards=10)
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -250,6 +250,9 @@
     may answer by itself; it returns None, bytes to send, or "reset"."""
 
     runs = []
+    # IP numbers of machines that are partitioned from all searchers: what they
+    # send, and what is sent to them, is held up until the partition ends.
+    cut = set()
 
     def __init__(self, record, service, name, ip, port, zone, work_s=0.02,
                  slots=4):
@@ -281,6 +284,12 @@
             ("Trefoilmill-Server-Stamp", f"{self.name}.{run.id}"), *headers],
             records)
 
+    @staticmethod
+    async def until_healed(writer):
+        ip = writer.get_extra_info("peername")[0]
+        while ip in Searcher.cut:
+            await asyncio.sleep(0.02)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -288,6 +297,7 @@
                 request = await read_message(reader)
                 if request is None:
                     break
+                await self.until_healed(writer)
                 if not await self.answer(request, reader, writer):
                     break
         except (OSError, ValueError, asyncio.IncompleteReadError):
@@ -323,6 +333,7 @@
         else:
             await asyncio.sleep(self.work_s)
             reply = self.good_answer(run)
+        await self.until_healed(writer)
         if reply == "reset":
             reset(writer)
             return False
