--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -10,6 +10,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -114,9 +115,11 @@
 def reset(writer):
     """Closes with a reset."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                        b"\x01\x00\x00\x00\x00\x00\x00\x00")
+                        struct.pack("ii", 1, 0))
+    except OSError:
+        return  # It was closed before.
     writer.transport.abort()
 
 
