A request handed over to another host keeps to its route's limit of endpoints

Cause: a host that takes itself for cut off gives its requests in progress up and passes them on. What it passed on did not say which endpoints had them, so that the next host, and the one after it, had the whole limit anew.

A new line, 'request in progress is handed over', names the endpoints.

Change: the endpoints that had a request go along with it. They count towards the limit at every host; where it is reached, they may get the request again, so that callers of a host that is really cut off keep their answers. A relayed request keeps its service. Hosts of the build before reject such a request (its ID stands in the new header), and what they pass on without a word of earlier attempts is run only if it has just arrived there.

The stand-in's links now lose replies, too, not only requests.

--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -166,8 +166,8 @@
         return self.modes.get(ip) not in ("reset", "refuse")
 
     def carries(self, ip):
-        """Whether a request of the host reaches the endpoint; waits while its
-        link hangs."""
+        """Whether a request of the host reaches the endpoint, or its reply the
+        host; waits while the link hangs."""
         hung = False
         while self.modes.get(ip) == "hang":
             hung = True
@@ -295,6 +295,8 @@
         if endpoint.limit is not None:
             notice["Server-Limit"] = str(endpoint.limit)
         status, headers, reply = answer(request, body) or (None, {}, b"")
+        if links is not None and not links.carries(request.client_address[0]):
+            return None
         return None if status is None else (status, headers | notice, reply)
 
     def answer(request, body):
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -18,6 +18,7 @@
 
 #include "trefoilmill/ids.h"
 #include "trefoilmill/process/shared_request_state.h"
+#include "trefoilmill/request/earlier_attempts.h"
 #include "trefoilmill/request/request_identity.h"
 #include "trefoilmill/request/request_outcome.h"
 #include "trefoilmill/time.h"
@@ -114,14 +115,17 @@
   /// one service selected from a relay target. `deadline` is the time at which
   /// the caller stops waiting. Without an `identity` nothing is known of
   /// earlier requests like it, and nothing is recorded of this one. The
-  /// priority of the caller's organisation goes before the route's.
+  /// priority of the caller's organisation goes before the route's. `earlier`
+  /// are the endpoints that other hosts sent it to: together with them it is
+  /// sent to no more endpoints than the route allows.
   request_run(std::shared_ptr<const route_table> table,
               const route& r,
               std::vector<service_id> services,
               time_point arrived,
               time_point deadline,
               std::optional<request_identity> identity = std::nullopt,
-              request_owner owner = {});
+              request_owner owner = {},
+              const earlier_attempts& earlier = {});
 
   /// Sends every shard's first attempt, or refuses the request if it cannot be
   /// answered in time or with enough shards.
@@ -145,6 +149,8 @@
   /// Possible if it may run twice, has no reply yet, and the budget allows an
   /// extra send to each service; returns whether it is.
   bool TryHandOver(time_point now, shared_request_state& shared);
+  /// The endpoints that the request was sent to, here and at other hosts.
+  earlier_attempts Attempts() const;
   /// The caller disconnected: nothing more is sent or answered.
   void OnCallerDisconnected() { finished_ = true; }
 
@@ -169,7 +175,10 @@
   };
   struct shard {
     service_id service;
+    /// Endpoints that this host sent it to.
     std::vector<endpoint_id> tried_endpoints;
+    /// Endpoints that other hosts sent it to.
+    std::vector<endpoint_id> tried_elsewhere;
     std::vector<attempt> in_flight;
     std::optional<endpoint_replied> reply;
     bool awaiting_capacity = false;
@@ -220,13 +229,28 @@
                 actions& out);
   /// Selects an endpoint for a send of the shard, of the version that a
   /// roll-out of its service assigns to it.
-  static endpoint_selector::selection SelectEndpoint(
+  endpoint_selector::selection SelectEndpoint(
       time_point now,
       shared_request_state& shared,
       const shard& s,
       duration expected,
       duration time_left,
-      endpoint_selector::purpose purpose);
+      endpoint_selector::purpose purpose) const;
+  /// The endpoints of the shard's service that may not get the request.
+  std::vector<endpoint_id> ExcludedEndpoints(const endpoint_registry& registry,
+                                             const shard& s) const;
+  /// Number of endpoints that the shard was sent to by any host.
+  std::size_t EndpointsUsed(const shard& s) const;
+  /// Whether the route's limit lets the shard be sent to an endpoint that has
+  /// not had it.
+  bool MayUseAnotherEndpoint(const shard& s) const;
+  /// Whether other hosts have sent the request to endpoints.
+  bool HasEarlierAttempts() const;
+  /// Credits the budget for extra sends with the first send of a shard, unless
+  /// another host has sent it before.
+  static void CountFirstSend(time_point now,
+                             shared_request_state& shared,
+                             const shard& s);
   /// Why nothing is sent on this selection.
   static resend_obstacle ObstacleOf(
       const endpoint_selector::selection& selection);
@@ -359,6 +383,9 @@
   std::size_t broken_attempts_ = 0;
   std::size_t broken_cautious_attempts_ = 0;
   std::vector<shard> shards_;
+  /// Endpoints that other hosts sent the request to, of services that are not
+  /// among the shards: another version of the configuration named them.
+  earlier_attempts other_attempts_;
   time_point arrived_;
   /// When the answer must be sent in any case.
   time_point answer_deadline_;
--- a/src/libtmwire/wire_corpus_test.cc
+++ b/src/libtmwire/wire_corpus_test.cc
@@ -9,6 +9,7 @@
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill/wire/document_splitter.h"
 #include "trefoilmill/wire/entry_settings_codec.h"
+#include "trefoilmill/wire/hand_over_codec.h"
 #include "trefoilmill/wire/part_codec.h"
 #include "trefoilmill/wire/peer_codec.h"
 #include "trefoilmill/wire/quarantine_codec.h"
@@ -105,6 +106,12 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(hand_over_decoder) {
+  ReplayCorpus("hand_over", [](const std::string& text) {
+    return Reencoded(DecodeHandOver(text), EncodeHandOver, DecodeHandOver);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(quarantine_record_decoder) {
   constexpr std::uint64_t kNowUs = 1'790'000'000'000'000;
   ReplayCorpus("quarantine_record", [](const std::string& text) {
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -3,6 +3,7 @@
 #include "trefoilmill/request/request_run.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <utility>
 
@@ -30,6 +31,11 @@
   return std::visit(visitor{}, outcome);
 }
 
+bool Contains(const std::vector<endpoint_id>& endpoints,
+              const endpoint_id& id) {
+  return std::ranges::find(endpoints, id) != endpoints.end();
+}
+
 /// Returns why an attempt without a good reply failed.
 reason_code FailureReason(const attempt_outcome& outcome) {
   struct visitor {
@@ -72,7 +78,8 @@
                          time_point arrived,
                          time_point deadline,
                          std::optional<request_identity> identity,
-                         request_owner owner)
+                         request_owner owner,
+                         const earlier_attempts& earlier)
     : table_(std::move(table)),
       route_(&r),
       identity_(identity),
@@ -85,6 +92,15 @@
   for (service_id& service : services) {
     shards_.emplace_back().service = std::move(service);
   }
+  for (const service_attempts& sent : earlier) {
+    const auto found =
+        std::ranges::find(shards_, sent.service, &shard::service);
+    if (found == shards_.end()) {
+      other_attempts_.push_back(sent);
+    } else {
+      found->tried_elsewhere = sent.endpoints;
+    }
+  }
   counts_.shards = shards_.size();
 }
 
@@ -125,17 +141,18 @@
     const shard& s,
     duration expected,
     duration time_left,
-    endpoint_selector::purpose purpose) {
+    endpoint_selector::purpose purpose) const {
   const auto select = [&](const std::vector<endpoint_id>& excluded) {
     return shared.selector.Select(now, shared.registry, s.service, excluded,
                                   expected, time_left, purpose);
   };
   const auto choice =
       shared.rollouts.Choose(now, s.service, s.tried_endpoints.empty());
+  const std::vector<endpoint_id> never = ExcludedEndpoints(shared.registry, s);
   if (choice == rollout_table::version_choice::kAny) {
-    return select(s.tried_endpoints);
+    return select(never);
   }
-  std::vector<endpoint_id> excluded = s.tried_endpoints;
+  std::vector<endpoint_id> excluded = never;
   shared.rollouts.Exclude(shared.registry, s.service, choice, excluded);
   auto selection = select(excluded);
   const auto alternative = rollout_table::Alternative(
@@ -145,11 +162,60 @@
       !alternative.has_value()) {
     return selection;
   }
-  excluded = s.tried_endpoints;
+  excluded = never;
   shared.rollouts.Exclude(shared.registry, s.service, *alternative, excluded);
   return select(excluded);
 }
 
+// Where the limit is reached, an endpoint that had the request from another
+// host may get it again: that runs it on no further endpoint.
+std::vector<endpoint_id> request_run::ExcludedEndpoints(
+    const endpoint_registry& registry,
+    const shard& s) const {
+  std::vector<endpoint_id> excluded = s.tried_endpoints;
+  if (MayUseAnotherEndpoint(s)) {
+    return excluded;
+  }
+  std::ranges::copy_if(
+      registry.EndpointsOf(s.service), std::back_inserter(excluded),
+      [&s](const endpoint_id& id) { return !Contains(s.tried_elsewhere, id); });
+  return excluded;
+}
+
+std::size_t request_run::EndpointsUsed(const shard& s) const {
+  const auto only_elsewhere = std::ranges::count_if(
+      s.tried_elsewhere,
+      [&s](const endpoint_id& id) { return !Contains(s.tried_endpoints, id); });
+  std::size_t used =
+      s.tried_endpoints.size() + static_cast<std::size_t>(only_elsewhere);
+  if (std::holds_alternative<relay_target>(route_->target)) {
+    // The limit of a relayed request is for all services together.
+    for (const service_attempts& sent : other_attempts_) {
+      used += sent.endpoints.size();
+    }
+  }
+  return used;
+}
+
+bool request_run::MayUseAnotherEndpoint(const shard& s) const {
+  return EndpointsUsed(s) < static_cast<std::size_t>(route_->max_endpoints);
+}
+
+bool request_run::HasEarlierAttempts() const {
+  return !other_attempts_.empty() ||
+         std::ranges::any_of(shards_, [](const shard& s) {
+           return !s.tried_elsewhere.empty();
+         });
+}
+
+void request_run::CountFirstSend(time_point now,
+                                 shared_request_state& shared,
+                                 const shard& s) {
+  if (!s.in_flight.empty() && s.tried_elsewhere.empty()) {
+    shared.extra_sends.OnFirstSend(now, s.service);
+  }
+}
+
 resend_obstacle request_run::ObstacleOf(
     const endpoint_selector::selection& selection) {
   struct visitor {
@@ -279,10 +345,13 @@
 }
 
 bool request_run::CanRetry(const shard& s) const {
-  const auto limit = static_cast<std::size_t>(route_->max_endpoints);
-  return s.tried_endpoints.size() < limit &&
-         (s.worst_verdict == verdict::kNotRun ||
-          route_->retry == retry_rule::kIdempotent);
+  const bool has_endpoint =
+      MayUseAnotherEndpoint(s) ||
+      std::ranges::any_of(s.tried_elsewhere, [&s](const endpoint_id& id) {
+        return !Contains(s.tried_endpoints, id);
+      });
+  return has_endpoint && (s.worst_verdict == verdict::kNotRun ||
+                          route_->retry == retry_rule::kIdempotent);
 }
 
 void request_run::RetryOrFail(time_point now,
@@ -331,8 +400,8 @@
   }
   const bool is_first_send = s.tried_endpoints.empty();
   Dispatch(now, shared, index, out);
-  if (is_first_send && !s.in_flight.empty()) {
-    shared.extra_sends.OnFirstSend(now, s.service);
+  if (is_first_send) {
+    CountFirstSend(now, shared, s);
   }
   if (IsCautious()) {
     SendNextHeld(now, shared, out);
--- a/src/libtrefoilmill/request/request_run_answer.cc
+++ b/src/libtrefoilmill/request/request_run_answer.cc
@@ -34,7 +34,12 @@
                                    : answer_deadline_ - now;
 }
 
+// Nobody can be told that a request which other hosts have sent did not run, so
+// that refusing it early helps no caller.
 time_point request_run::CapacityDeadline() const {
+  if (HasEarlierAttempts()) {
+    return answer_deadline_;
+  }
   return arrived_ + route_->objective / kCapacityWaitDivisor;
 }
 
--- a/src/libtrefoilmill/request/request_run_caution.cc
+++ b/src/libtrefoilmill/request/request_run_caution.cc
@@ -126,9 +126,7 @@
     return;
   }
   Dispatch(now, shared, index, out);
-  if (!s.in_flight.empty()) {
-    shared.extra_sends.OnFirstSend(now, s.service);
-  }
+  CountFirstSend(now, shared, s);
 }
 
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/request/request_run_hand_over.cc
+++ b/src/libtrefoilmill/request/request_run_hand_over.cc
@@ -1,7 +1,9 @@
 /// How request_run gives a request up for another host, and what it says of the
 /// shards that failed or were late.
 #include <algorithm>
+#include <iterator>
 #include <ranges>
+#include <utility>
 
 #include "trefoilmill/request/request_run.h"
 
@@ -22,6 +24,22 @@
   return finished_;
 }
 
+earlier_attempts request_run::Attempts() const {
+  earlier_attempts attempts = other_attempts_;
+  for (const shard& s : shards_) {
+    std::vector<endpoint_id> used = s.tried_elsewhere;
+    std::ranges::copy_if(s.tried_endpoints, std::back_inserter(used),
+                         [&s](const auto& id) {
+                           return std::ranges::find(s.tried_elsewhere, id) ==
+                                  s.tried_elsewhere.end();
+                         });
+    if (!used.empty()) {
+      attempts.push_back({.service = s.service, .endpoints = std::move(used)});
+    }
+  }
+  return attempts;
+}
+
 std::vector<shard_trouble> request_run::Troubles(std::size_t limit) const {
   std::vector<const shard*> troubled;
   for (const shard& s : shards_) {
--- a/src/libtrefoilmill/request/request_run_start.cc
+++ b/src/libtrefoilmill/request/request_run_start.cc
@@ -163,9 +163,7 @@
     return out;
   }
   for (const shard& s : shards_) {
-    if (!s.in_flight.empty()) {
-      shared.extra_sends.OnFirstSend(now, s.service);
-    }
+    CountFirstSend(now, shared, s);
   }
   ScheduleWake(now, shared, out);
   return out;
--- a/src/trefoilmill_entry/peer_copies.cc
+++ b/src/trefoilmill_entry/peer_copies.cc
@@ -19,6 +19,9 @@
 constexpr duration kFetchTimeout = std::chrono::milliseconds(800);
 /// Largest copy that is accepted: 8 MiB.
 constexpr std::size_t kMaxCopyBytes = 8 << 20;
+/// Largest headers of a request from another host: those of a caller, and the
+/// endpoints that a query over many shards was sent to.
+constexpr std::size_t kMaxHeaderBytes = 64 << 10;
 /// Replies under way to other hosts, at most. Others are told to ask again or
 /// elsewhere: with four pages a link of 20 Mbit/s is busy for 32 ms, so that
 /// probes, which have 200 ms, pass.
@@ -72,7 +75,7 @@
   std::unique_ptr<peer_copies> created(
       new peer_copies(loop, settings, store, fleet, process_telemetry, random));
   auto server = http_server::Listen(
-      loop, settings.peers, {},
+      loop, settings.peers, {.max_header_bytes = kMaxHeaderBytes},
       [copies = created.get(), on_forwarded = std::move(on_forwarded)](
           http_request request, const http_responder& responder) {
         if (const auto mark = TakeForwardedMark(request)) {
--- a/src/trefoilmill_entry/request_forwarder.cc
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -5,7 +5,9 @@
 #include <string_view>
 #include <utility>
 
+#include "platform/headers.h"
 #include "platform/http_conversion.h"
+#include "trefoilmill/wire/hand_over_codec.h"
 #include "trefoilmill/wire/log_messages.h"
 
 namespace trefoilmill::entry {
@@ -18,6 +20,12 @@
 /// The organisation of a forwarded request's caller; empty if it has none.
 constexpr char kForwardedOrganisationHeader[] =
     "Trefoilmill-Forwarded-Organisation";
+/// States that a forwarded request was sent to no endpoint before.
+constexpr char kUnsentHeader[] = "Trefoilmill-Forwarded-Unsent";
+/// The ID of a request that was sent to endpoints before, and those endpoints.
+/// It stands in place of the header with the ID, so that a host which does not
+/// know this one rejects the request.
+constexpr char kHandedOverHeader[] = "Trefoilmill-Handed-Over";
 /// In the answer of a host that is cut off from the endpoints, too: the ids of
 /// such hosts, comma-separated, and how many at most.
 constexpr char kCutOffHeader[] = "Trefoilmill-Cut-Off";
@@ -70,19 +78,52 @@
 void RemoveMark(http_request& request) {
   std::erase_if(request.headers, [](const http_header& header) {
     return SameHeaderName(header.name, kForwardedHeader) ||
-           SameHeaderName(header.name, kForwardedOrganisationHeader);
+           SameHeaderName(header.name, kForwardedOrganisationHeader) ||
+           SameHeaderName(header.name, kUnsentHeader) ||
+           SameHeaderName(header.name, kHandedOverHeader);
   });
 }
 
-}  // namespace
+void RemoveRequestId(http_request& request) {
+  std::erase_if(request.headers, [](const http_header& header) {
+    return SameHeaderName(header.name, platform::kRequestIdHeader);
+  });
+}
 
-void MarkForwarded(http_request& request,
-                   const request_identity& identity,
-                   const organisation_id& organisation) {
-  RemoveMark(request);
-  request.headers.push_back({kForwardedHeader, FormatIdentity(identity)});
+/// Reads where the request was sent before, and restores its ID.
+std::optional<earlier_attempts> TakeAttempts(http_request& request) {
+  const auto text = request.Header(kHandedOverHeader);
+  if (!text.has_value()) {
+    return request.Header(kUnsentHeader).has_value()
+               ? std::optional(earlier_attempts())
+               : std::nullopt;
+  }
+  RemoveRequestId(request);
+  auto handed_over = DecodeHandOver(*text);
+  if (handed_over.has_error()) {
+    return std::nullopt;
+  }
   request.headers.push_back(
-      {kForwardedOrganisationHeader, organisation.value()});
+      {platform::kRequestIdHeader, handed_over.value().id.value()});
+  return std::move(handed_over.value().attempts);
+}
+
+}  // namespace
+
+void MarkForwarded(http_request& copy, const forwarded_request& forwarded) {
+  RemoveMark(copy);
+  copy.headers.push_back(
+      {kForwardedHeader, FormatIdentity(forwarded.identity)});
+  copy.headers.push_back(
+      {kForwardedOrganisationHeader, forwarded.organisation.value()});
+  if (forwarded.attempts.empty()) {
+    copy.headers.push_back({kUnsentHeader, "1"});
+    return;
+  }
+  RemoveRequestId(copy);
+  copy.headers.push_back(
+      {kHandedOverHeader,
+       EncodeHandOver({.id = forwarded.id, .attempts = forwarded.attempts})});
 }
 
 std::optional<forwarded_mark> TakeForwardedMark(http_request& request) {
@@ -94,6 +135,7 @@
   if (auto name = request.Header(kForwardedOrganisationHeader)) {
     mark.organisation = organisation_id(std::move(*name));
   }
+  mark.attempts = TakeAttempts(request);
   RemoveMark(request);
   return mark;
 }
@@ -176,7 +218,7 @@
   const duration left = active.request.answer_by - loop_.Now();
   const std::optional<host_record> peer = NextHost(active.tried);
   if (!peer.has_value() || left <= kPeerRoundTrip) {
-    if (active.request.so_far != verdict::kNotRun) {
+    if (active.so_far() != verdict::kNotRun) {
       Fail(n, reason_code::kNoReplica);
       return;
     }
@@ -193,12 +235,12 @@
       log_message::kRequestForwarded,
       {.request = active.request.id,
        .peer = peer->id,
-       .outcome = active.request.so_far,
+       .outcome = active.so_far(),
        .inputs = {{"tried", static_cast<std::int64_t>(active.tried.size())}}});
   http_request sent = platform::MakeForwardedRequest(
       active.request.request, active.request.organisation,
       left - kPeerRoundTrip);
-  MarkForwarded(sent, active.request.identity, active.request.organisation);
+  MarkForwarded(sent, active.request);
   active.sent = client_.Send(peer->peer, sent, left,
                              [this, n, id = peer->id](http_result exchange) {
                                OnResult(n, id, std::move(exchange));
@@ -212,12 +254,13 @@
   if (found == active_.end()) {
     return;
   }
-  if (exchange.response.has_value() && LearnCutOff(peer, *exchange.response)) {
+  if (exchange.response.has_value() &&
+      IsDeclined(n, peer, *exchange.response)) {
     SendToNext(n);
     return;
   }
   if (exchange.response.has_value() &&
-      found->second.request.so_far != verdict::kNotRun &&
+      found->second.so_far() != verdict::kNotRun &&
       platform::StatesNotRun(*exchange.response)) {
     Fail(n, reason_code::kNoReplica);
     return;
@@ -245,6 +288,26 @@
   Fail(n, ReasonOf(failure));
 }
 
+bool request_forwarder::IsDeclined(number n,
+                                   const host_id& peer,
+                                   const http_response& response) {
+  if (LearnCutOff(peer, response)) {
+    return true;
+  }
+  const active_request& active = active_.at(n);
+  if (active.so_far() == verdict::kNotRun ||
+      !platform::IsRejectedAsMalformed(response)) {
+    return false;
+  }
+  telemetry_.log->Info(log_message::kForwardingFailed,
+                       {.request = active.request.id,
+                        .peer = peer,
+                        .reason = reason_code::kBadRequest,
+                        .outcome = verdict::kNotRun,
+                        .detail = "does not know of earlier attempts"});
+  return true;
+}
+
 bool request_forwarder::LearnCutOff(const host_id& peer,
                                     const http_response& response) {
   const auto names = response.Header(kCutOffHeader);
--- a/src/trefoilmill_entry/request_forwarder.h
+++ b/src/trefoilmill_entry/request_forwarder.h
@@ -19,6 +19,7 @@
 #include "trefoilmill/ids.h"
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
+#include "trefoilmill/request/earlier_attempts.h"
 #include "trefoilmill/request/request_identity.h"
 #include "trefoilmill_entry/telemetry.h"
 
@@ -35,17 +36,16 @@
   http_responder responder;
   /// When the caller has to have its answer.
   time_point answer_by;
-  /// Whether this host has sent it to endpoints before. Then no answer may say
-  /// that it did not run.
-  verdict so_far = verdict::kNotRun;
+  /// The endpoints that it was sent to before. If there are any, no answer may
+  /// say that it did not run.
+  earlier_attempts attempts;
 };
 
-/// Marks the request as forwarded, for the other host, which cannot tell its
-/// caller and does not get the caller's key. Replaces what the caller may have
-/// written there.
-void MarkForwarded(http_request& request,
-                   const request_identity& identity,
-                   const organisation_id& organisation);
+/// Marks a copy of the request for the other host, which cannot tell its caller
+/// and does not get the caller's key. Replaces what the caller may have written
+/// there. A request that was sent to endpoints is marked so that a host which
+/// does not know of earlier attempts rejects it: it would run it anew.
+void MarkForwarded(http_request& copy, const forwarded_request& forwarded);
 /// What the mark of a forwarded request says.
 struct forwarded_mark {
   /// Unset if the sender did not state it.
@@ -53,8 +53,13 @@
   /// The caller's organisation, empty if it has none. Unset if the sender did
   /// not state it: it is of an earlier version, and passes keys on.
   std::optional<organisation_id> organisation;
+  /// The endpoints that the request was sent to before. Unset if the sender did
+  /// not state them: it is of an earlier version, and may have sent the request
+  /// to any.
+  std::optional<earlier_attempts> attempts;
 };
-/// The mark if the request was forwarded; removes it.
+/// The mark if the request was forwarded; removes it. A malformed statement of
+/// earlier attempts leaves the request without an ID, so that it is rejected.
 std::optional<forwarded_mark> TakeForwardedMark(http_request& request);
 /// The answer of a host that does not reach the endpoints either to a forwarded
 /// request, which did not run. It names the hosts that it knows to be in the
@@ -97,6 +102,10 @@
   using number = std::uint64_t;
   struct active_request {
     forwarded_request request;
+    /// Whether the request may have run before it was forwarded.
+    verdict so_far() const {
+      return request.attempts.empty() ? verdict::kNotRun : verdict::kMayHaveRun;
+    }
     /// The hosts that were tried.
     std::vector<host_id> tried;
     http_client::request_handle sent;
@@ -109,6 +118,9 @@
   std::optional<host_record> NextHost(const std::vector<host_id>& tried);
   void SendToNext(number n);
   void OnResult(number n, const host_id& peer, http_result exchange);
+  /// Whether the answer of a host says that it has not run the request and
+  /// another host may: it is cut off, or does not know of earlier attempts.
+  bool IsDeclined(number n, const host_id& peer, const http_response& response);
   /// Learns of the hosts that a peer's answer names as cut off; returns whether
   /// it is such an answer.
   bool LearnCutOff(const host_id& peer, const http_response& response);
--- a/src/trefoilmill_entry/request_forwarder_test.cc
+++ b/src/trefoilmill_entry/request_forwarder_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,7 @@
   std::vector<host_record> hosts;
   std::vector<host_id> cut_off;
   int run_here = 0;
-  verdict so_far = verdict::kNotRun;
+  earlier_attempts attempts;
   http_request last_run_here;
   /// Requests that other hosts do not answer.
   std::vector<http_responder> kept;
@@ -41,7 +42,7 @@
                            .request = std::move(request),
                            .responder = responder,
                            .answer_by = loop->Now() + seconds(5),
-                           .so_far = so_far});
+                           .attempts = attempts});
       });
 
   fixture() {
@@ -70,7 +71,13 @@
   http_result Ask() {
     http_client caller(*loop);
     std::optional<http_result> result;
-    caller.Send({kTestIp, front->port()}, {.method = "GET", .path = "/sweep"},
+    caller.Send({kTestIp, front->port()},
+                {.method = "GET",
+                 .path = "/sweep",
+                 // What the caller writes of earlier attempts says nothing.
+                 .headers = {{"Trefoilmill-Request-Id", "r-1"},
+                             {"Trefoilmill-Forwarded-Unsent", "1"},
+                             {"Trefoilmill-Handed-Over", "forged"}}},
                 seconds(5),
                 [&](const http_result& exchange) { result = exchange; });
     BOOST_REQUIRE(RunUntil(*loop, [&] { return result.has_value(); }));
@@ -78,6 +85,9 @@
   }
 };
 
+const earlier_attempts kSentOnce = {
+    {.service = service_id("shelf-3"), .endpoints = {endpoint_id("i-7")}}};
+
 void Answer(const http_request&, const http_responder& responder) {
   responder.Send({.status = 200, .body = "whole"});
 }
@@ -89,8 +99,10 @@
 BOOST_AUTO_TEST_CASE(passes_a_request_on_and_its_answer_back) {
   bool marked = false;
   AddHost("b", [&](http_request request, const http_responder& responder) {
-    marked = TakeForwardedMark(request).has_value() &&
-             !TakeForwardedMark(request).has_value();
+    const auto mark = TakeForwardedMark(request);
+    marked = mark.has_value() && !TakeForwardedMark(request).has_value();
+    BOOST_TEST((mark->attempts == earlier_attempts()));
+    BOOST_TEST((request.Header("Trefoilmill-Request-Id") == "r-1"));
     Answer(request, responder);
   });
   const http_result result = Ask();
@@ -142,6 +154,79 @@
   BOOST_TEST(std::stoi(*left) <= 5000);
 }
 
+// A request that was sent to endpoints runs on further ones beyond its route's
+// limit if the next host does not know of them.
+BOOST_AUTO_TEST_CASE(names_the_endpoints_that_had_a_request) {
+  attempts = kSentOnce;
+  std::optional<forwarded_mark> mark;
+  std::optional<std::string> id;
+  AddHost("b", [&](http_request request, const http_responder& responder) {
+    BOOST_TEST(!request.Header("Trefoilmill-Request-Id").has_value());
+    mark = TakeForwardedMark(request);
+    id = request.Header("Trefoilmill-Request-Id");
+    BOOST_TEST(!request.Header("Trefoilmill-Handed-Over").has_value());
+    Answer(request, responder);
+  });
+  BOOST_TEST(Ask().response->status == 200);
+  BOOST_REQUIRE(mark.has_value());
+  BOOST_TEST((mark->attempts == kSentOnce));
+  BOOST_TEST((id == "r-1"));
+}
+
+// A host of an earlier version runs a forwarded request anew. It rejects one
+// without an ID, before anything runs.
+BOOST_AUTO_TEST_CASE(a_host_of_an_earlier_version_does_not_run_it_anew) {
+  attempts = kSentOnce;
+  int ran_by_earlier = 0;
+  int ran = 0;
+  for (const std::string name : {"b", "c", "d"}) {
+    AddHost(name, [&](const http_request& request,
+                      const http_responder& responder) {
+      const bool has_id = request.Header("Trefoilmill-Request-Id").has_value();
+      ran_by_earlier += has_id ? 1 : 0;
+      responder.Send({.status = has_id ? 200 : 400});
+    });
+  }
+  BOOST_TEST(Ask().response->status == 502);
+  AddHost("z",
+          [&](const http_request& request, const http_responder& responder) {
+            ++ran;
+            Answer(request, responder);
+          });
+  BOOST_TEST(Ask().response->status == 200);
+  BOOST_TEST(ran == 1);
+  BOOST_TEST(ran_by_earlier == 0);
+  BOOST_TEST(run_here == 0);
+}
+
+// The endpoint has run the request: its answer is the caller's.
+BOOST_AUTO_TEST_CASE(an_endpoint_s_own_rejection_is_not_sent_elsewhere) {
+  attempts = kSentOnce;
+  int ran = 0;
+  for (const std::string name : {"b", "c"}) {
+    AddHost(name, [&](const http_request&, const http_responder& responder) {
+      ++ran;
+      responder.Send({.status = 400,
+                      .headers = {{"Trefoilmill-Server-Stamp", "i-7.r-1"}}});
+    });
+  }
+  BOOST_TEST(Ask().response->status == 400);
+  BOOST_TEST(ran == 1);
+}
+
+// It would be taken for one that was sent nowhere.
+BOOST_AUTO_TEST_CASE(a_malformed_statement_of_attempts_is_rejected) {
+  for (const std::string text : {"", "{}", R"({"request":"r","sent_to":[]})"}) {
+    http_request request{.headers = {{"Trefoilmill-Request-Id", "r-1"},
+                                     {"Trefoilmill-Forwarded", "x"},
+                                     {"Trefoilmill-Handed-Over", text}}};
+    const auto mark = TakeForwardedMark(request);
+    BOOST_REQUIRE(mark.has_value());
+    BOOST_TEST(!mark->attempts.has_value());
+    BOOST_TEST(!request.Header("Trefoilmill-Request-Id").has_value());
+  }
+}
+
 // An endpoint's own answer may have any headers.
 BOOST_AUTO_TEST_CASE(does_not_take_an_answer_for_a_declined_request) {
   int ran = 0;
@@ -159,7 +244,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(does_not_call_not_run_what_may_have_run_before) {
-  so_far = verdict::kMayHaveRun;
+  attempts = kSentOnce;
   BOOST_TEST(Ask().response->status == 502);
   AddHost("b", [](const http_request&, const http_responder& responder) {
     responder.Send({.status = 503});
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -46,7 +46,8 @@
                  [this](forwarded_request not_taken) {
                    RunHere(std::move(not_taken.request), not_taken.responder,
                            {.identity = not_taken.identity,
-                            .organisation = not_taken.organisation});
+                            .organisation = not_taken.organisation,
+                            .attempts = not_taken.attempts});
                  }) {}
 
 request_handler::~request_handler() = default;
@@ -55,7 +56,9 @@
   route_table_ = std::move(table);
 }
 
-std::vector<service_id> request_handler::SelectServices(const route& matched) {
+std::vector<service_id> request_handler::SelectServices(
+    const route& matched,
+    const earlier_attempts& attempts) {
   if (const auto* gather = std::get_if<gather_target>(&matched.target)) {
     return gather->shards;
   }
@@ -63,6 +66,12 @@
   if (services.size() == 1) {
     return {services.front().service};
   }
+  const auto sent_before = std::ranges::find_first_of(
+      services, attempts, {}, &weighted_service::service,
+      &service_attempts::service);
+  if (sent_before != services.end()) {
+    return {sent_before->service};
+  }
   std::vector<double> weights;
   std::ranges::transform(services, std::back_inserter(weights),
                          &weighted_service::weight);
@@ -98,7 +107,7 @@
 void request_handler::StartRequest(routed_request routed,
                                    const http_responder& responder) {
   if (NeedsOtherHost(loop_.Now(), *routed.matched)) {
-    Forward(std::move(routed), responder, verdict::kNotRun);
+    Forward(std::move(routed), responder);
     return;
   }
   Run(std::move(routed), responder);
@@ -119,9 +128,16 @@
                               const http_responder& responder,
                               const forwarded_mark& mark) {
   auto routed = Route(std::move(request), responder, mark);
-  if (routed.has_value()) {
-    Run(std::move(*routed), responder);
+  if (!routed.has_value()) {
+    return;
+  }
+  if (MayHaveBeenSent(*routed, mark)) {
+    Refuse(responder, routed->id, reason_code::kNoReplica, duration::zero(),
+           "forwarded by a host of an earlier version, which may have sent it "
+           "to endpoints");
+    return;
   }
+  Run(std::move(*routed), responder);
 }
 
 bool request_handler::Identify(const std::optional<std::string>& key,
@@ -169,7 +185,8 @@
                       : IdentifyRequest(request, caller.host),
       .table = route_table_,
       .matched = matched,
-      .deadline = loop_.Now() + caller.time_left.value_or(matched->timeout)};
+      .deadline = loop_.Now() + caller.time_left.value_or(matched->timeout),
+      .attempts = mark.attempts.value_or(earlier_attempts())};
   if (!Identify(caller.key, mark, routed)) {
     Refuse(responder, caller.id, reason_code::kUnauthorized, {});
     return std::nullopt;
@@ -225,9 +242,10 @@
       .original = std::move(routed.original),
       .responder = responder,
       .run = request_run(
-          routed.table, matched, SelectServices(matched), now, routed.deadline,
-          routed.identity,
-          {.id = routed.owner_id, .priority = PriorityOf(routed).organisation}),
+          routed.table, matched, SelectServices(matched, routed.attempts), now,
+          routed.deadline, routed.identity,
+          {.id = routed.owner_id, .priority = PriorityOf(routed).organisation},
+          routed.attempts),
       .arrived = now,
       .deadline = routed.deadline});
   active_request& active = *created;
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -103,6 +103,8 @@
     http_request original;
     const route* matched = nullptr;
     time_point deadline;
+    /// The endpoints that it was sent to before.
+    earlier_attempts attempts;
     /// It took a permit of the organisation's quota at this host.
     bool holds_permit = false;
   };
@@ -147,12 +149,16 @@
   /// Whether another host can do what this one cannot: it does not reach the
   /// endpoints, or not those of all services that the request needs.
   bool NeedsOtherHost(time_point now, const route& matched) const;
-  /// Passes a request on, of which `so_far` says whether it may have run here.
-  void Forward(routed_request routed,
-               const http_responder& responder,
-               verdict so_far);
-  /// The services of all shards, or one service drawn at random by weight.
-  std::vector<service_id> SelectServices(const route& r);
+  /// Passes a request on.
+  void Forward(routed_request routed, const http_responder& responder);
+  /// Whether another host, which does not say so, may have sent the request to
+  /// endpoints before it forwarded it.
+  bool MayHaveBeenSent(const routed_request& routed,
+                       const forwarded_mark& mark) const;
+  /// The services of all shards, or one service: the one that the request was
+  /// sent to before, else one drawn at random by weight.
+  std::vector<service_id> SelectServices(const route& r,
+                                         const earlier_attempts& attempts);
   /// Answers a request that was not routed.
   void Refuse(const http_responder& responder,
               const request_id& id,
@@ -187,6 +193,9 @@
                 std::optional<request_rate> limit);
   void OnCallerDisconnected(request_number number);
   void LogDisconnected(const active_request& active);
+  /// Logs a request that is given up here for another host.
+  void LogHandOver(const active_request& active,
+                   const earlier_attempts& attempts);
   void AbortAttempts(request_number number);
   /// Erases a request that is answered and has no attempt in flight.
   void EraseIfFinished(request_number number);
--- a/src/trefoilmill_entry/request_handler_forward.cc
+++ b/src/trefoilmill_entry/request_handler_forward.cc
@@ -35,10 +35,11 @@
 }
 
 void request_handler::HandOver(request_number number, active_request& active) {
-  const std::size_t sends = active.run.counts().sends;
   if (active.answered || !active.run.TryHandOver(loop_.Now(), shared_state_)) {
     return;
   }
+  earlier_attempts attempts = active.run.Attempts();
+  LogHandOver(active, attempts);
   active.answered = true;
   --unanswered_;
   active.wake_timer = timer();
@@ -48,16 +49,28 @@
            .owner_id = active.organisation,
            .original = std::move(active.original),
            .matched = &active.run.matched(),
-           .deadline = active.deadline},
-          active.responder,
-          sends > 0 ? verdict::kMayHaveRun : verdict::kNotRun);
+           .deadline = active.deadline,
+           .attempts = std::move(attempts)},
+          active.responder);
   AbortAttempts(number);
   EraseIfFinished(number);
 }
 
+bool request_handler::MayHaveBeenSent(const routed_request& routed,
+                                      const forwarded_mark& mark) const {
+  if (mark.attempts.has_value() ||
+      routed.matched->retry != retry_rule::kIdempotent) {
+    return false;
+  }
+  const auto longest = shared_state_.longest_waits.find(routed.matched->id);
+  return !IsJustReceived(routed.deadline - loop_.Now(),
+                         longest == shared_state_.longest_waits.end()
+                             ? duration::max()
+                             : longest->second);
+}
+
 void request_handler::Forward(routed_request routed,
-                              const http_responder& responder,
-                              verdict so_far) {
+                              const http_responder& responder) {
   const time_point timeout = loop_.Now() + routed.matched->timeout;
   time_point answer_by =
       std::min(routed.deadline - kAnswerDeliveryMargin, timeout);
@@ -70,7 +83,7 @@
                       .request = std::move(routed.original),
                       .responder = responder,
                       .answer_by = answer_by,
-                      .so_far = so_far});
+                      .attempts = std::move(routed.attempts)});
 }
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/request_handler_log.cc
+++ b/src/trefoilmill_entry/request_handler_log.cc
@@ -8,12 +8,15 @@
 #include <variant>
 
 #include "request_handler_impl.h"
+#include "trefoilmill/wire/log_messages.h"
 
 namespace trefoilmill::entry {
 namespace {
 
 /// Shards that the log line of a late or incomplete answer names at most.
 constexpr std::size_t kMaxLoggedTroubles = 4;
+/// Services that the log line of a request which is handed over names at most.
+constexpr std::size_t kMaxLoggedServices = 4;
 /// Between a header's name and value, and after it.
 constexpr std::size_t kHeaderSeparatorBytes = 4;
 
@@ -32,8 +35,38 @@
   return text;
 }
 
+/// For example "shelf-3@i-7,i-9 shelf-4@i-8": the endpoints that a request was
+/// sent to.
+std::string DescribeAttempts(const earlier_attempts& attempts) {
+  std::string text;
+  for (const service_attempts& sent :
+       attempts | std::views::take(kMaxLoggedServices)) {
+    text += (text.empty() ? "" : " ") + sent.service.value();
+    char separator = '@';
+    for (const endpoint_id& endpoint : sent.endpoints) {
+      text += separator + endpoint.value();
+      separator = ',';
+    }
+  }
+  return text;
+}
+
 }  // namespace
 
+void request_handler::LogHandOver(const active_request& active,
+                                  const earlier_attempts& attempts) {
+  const request_run::summary& counts = active.run.counts();
+  telemetry_.log->Info(
+      log_message::kRequestHandedOver,
+      {.request = active.id,
+       .detail = DescribeAttempts(attempts),
+       .inputs = {{"sends", static_cast<std::int64_t>(counts.sends)},
+                  {"hedges", static_cast<std::int64_t>(counts.hedges)},
+                  {"retries", static_cast<std::int64_t>(counts.retries)},
+                  {"limit", active.run.matched().max_endpoints},
+                  {"age_us", (loop_.Now() - active.arrived).count()}}});
+}
+
 void request_handler::LogDisconnected(const active_request& active) {
   telemetry_.log->Info(
       "caller disconnected before its answer",
