A response without a length is read to the end of its connection

Cause: without a length evhttp reads to the end of the connection only if the headers say nothing of the connection, or 'close'; else it reports an empty body, before the body has come. http_connection took that for a whole response.

Ruled out: the endpoint's bytes (the same body with a length came whole); the pool (the connection was closed, as bytes waited, but only after the response was accepted).

Change: the header that misleads evhttp is taken out when the body ends with the connection, and a response is accepted only if message_framing finds in the same bytes a message that ended where evhttp's did. Two lengths, 'gzip, chunked', a space before the colon, signs in chunk sizes and a head that ends early are failures now.

--- a/src/libtmnet/http_connection.cc
+++ b/src/libtmnet/http_connection.cc
@@ -10,10 +10,12 @@
 #include <cstring>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include "http_common.h"
 #include "http_exchange.h"
+#include "message_framing.h"
 #include "trefoilmill/net/http.h"
 
 namespace trefoilmill {
@@ -58,6 +60,9 @@
   evhttp_request* placeholder = nullptr;
   // Bytes received since the request in progress was sent.
   std::size_t received_bytes = 0;
+  // Follows the bytes of the response, beside evhttp.
+  message_framing framing =
+      message_framing::ForResponse(kMaxResponseHeaderBytes, false);
   // evhttp's event callback, which the first Send() calls.
   bufferevent_event_cb evhttp_event_cb = nullptr;
   void* evhttp_cb_arg = nullptr;
@@ -85,6 +90,7 @@
   static void OnInputChanged(evbuffer* input,
                              const evbuffer_cb_info* change,
                              void* self);
+  static int OnEvhttpHeaders(evhttp_request* evreq, void* self);
   static void OnEvhttpResponse(evhttp_request* evreq, void* self);
   static void OnEvhttpError(evhttp_request_error code, void* self);
   static void OnEvhttpClosed(evhttp_connection* evcon, void* self);
@@ -94,7 +100,8 @@
   void HandleConnected();
   void HandleConnectFailed();
   void HandleIdleClose();
-  void HandleTooLong();
+  void HandleMalformed();
+  bool IsWhole(const http_response& response) const;
   void StartRequest(const http_request& request,
                     duration timeout,
                     result_callback done);
@@ -195,7 +202,7 @@
   }
 }
 
-void http_connection::impl::OnInputChanged(evbuffer*,
+void http_connection::impl::OnInputChanged(evbuffer* input,
                                            const evbuffer_cb_info* change,
                                            void* self) {
   auto* connection = static_cast<impl*>(self);
@@ -204,13 +211,21 @@
       kMaxBytesPerBodyByte * connection->opts.max_body_bytes;
   const bool was_within = connection->received_bytes <= limit;
   connection->received_bytes += change->n_added;
-  if (connection->current_state == connection_state::kBusy && was_within &&
-      connection->received_bytes > limit) {
-    connection->PostIfCurrent(&impl::HandleTooLong);
+  if (connection->current_state != connection_state::kBusy || !was_within) {
+    return;
+  }
+  VisitLastBytes(input, change->n_added, [connection](std::string_view bytes) {
+    connection->framing.Consume(bytes);
+  });
+  const bool is_malformed =
+      !connection->framing.empty() &&
+      connection->framing.front().found != message_framing::fault::kNone;
+  if (is_malformed || connection->received_bytes > limit) {
+    connection->PostIfCurrent(&impl::HandleMalformed);
   }
 }
 
-void http_connection::impl::HandleTooLong() {
+void http_connection::impl::HandleMalformed() {
   FinishRequest({.failure_reason = http_failure::kMalformed}, false);
 }
 
@@ -252,6 +267,8 @@
   ++generation;
   evhttp_failure.reset();
   received_bytes = 0;
+  framing = message_framing::ForResponse(kMaxResponseHeaderBytes,
+                                         request.method == "HEAD");
   on_request_done = std::move(done);
   deadline = loop.RunAfter(timeout, [this] {
     FinishRequest({.failure_reason = http_failure::kTimeout}, false);
@@ -261,11 +278,13 @@
   if (!first_request) {
     evhttp_request* evreq = evhttp_request_new(&impl::OnEvhttpResponse, this);
     evhttp_request_set_error_cb(evreq, &impl::OnEvhttpError);
+    evhttp_request_set_header_cb(evreq, &impl::OnEvhttpHeaders);
     FillRequest(evreq, request, address);
     evhttp_make_request(evcon, evreq, *type, target.c_str());
     return;
   }
   evhttp_request* evreq = std::exchange(placeholder, nullptr);
+  evhttp_request_set_header_cb(evreq, &impl::OnEvhttpHeaders);
   evreq->type = *type;
   std::free(evreq->uri);
   evreq->uri = strdup(target.c_str());
@@ -290,6 +309,28 @@
   connection->current_state = connection_state::kClosed;
 }
 
+// Without a length evhttp reads up to the end of the connection only if nothing
+// is said of the connection, or "close"; else it takes the body for empty.
+int http_connection::impl::OnEvhttpHeaders(evhttp_request* evreq, void* self) {
+  const auto* connection = static_cast<impl*>(self);
+  if (!connection->framing.empty() &&
+      connection->framing.front().ends_with_connection) {
+    evhttp_remove_header(evhttp_request_get_input_headers(evreq), "Connection");
+  }
+  return 0;
+}
+
+// Whether evhttp has read the response that its bytes hold, to the end.
+bool http_connection::impl::IsWhole(const http_response& response) const {
+  if (framing.empty()) {
+    return false;
+  }
+  const message_framing::message& framed = framing.front();
+  return framed.found == message_framing::fault::kNone &&
+         (framed.complete || framed.ends_with_connection) &&
+         framed.body_bytes == response.body.size();
+}
+
 void http_connection::impl::OnEvhttpResponse(evhttp_request* evreq,
                                              void* self) {
   auto* connection = static_cast<impl*>(self);
@@ -313,7 +354,9 @@
   response.body = CopyBuffer(evhttp_request_get_input_buffer(evreq));
   // evhttp itself reports an error if the connection is reset within a body
   // that the end of the connection delimits.
-  if (!HasDelimitedBody(response) && !connection->opts.accept_close_delimited) {
+  const bool may_end_so =
+      HasDelimitedBody(response) || connection->opts.accept_close_delimited;
+  if (!may_end_so || !connection->IsWhole(response)) {
     connection->FinishRequest({.failure_reason = http_failure::kMalformed},
                               false);
     return;
