No status that promises 'not run' for a request that an endpoint ran

Callers send such a request again.

Cause: request_run relays an endpoint's failure whatever its status promises.

Change: a reply carries whether its status promises 'not run'; for a request that may run only once the caller gets 502. The same for what a host of the build before passes on. Idempotent requests keep the endpoint's answer.

--- a/src/include/trefoilmill/request/request_outcome.h
+++ b/src/include/trefoilmill/request/request_outcome.h
@@ -21,6 +21,9 @@
   /// Token by which the endpoint proves that it produced the reply; empty if
   /// the reply has none.
   std::string stamp;
+  /// Callers take the reply's status for the promise that the request did not
+  /// run, which the endpoint has not said.
+  bool promises_not_run = false;
 };
 /// It certainly did not run: the endpoint refused it, or the connection to the
 /// endpoint failed before it was sent.
--- a/src/libtrefoilmill/request/request_run_answer.cc
+++ b/src/libtrefoilmill/request/request_run_answer.cc
@@ -137,7 +137,11 @@
     return;
   }
   const bool is_relay = std::holds_alternative<relay_target>(route_->target);
-  if (is_relay && last_error_reply_.has_value() &&
+  // A caller would send the request again, which may run only once.
+  const bool is_false_promise = last_error_reply_.has_value() &&
+                                last_error_reply_->promises_not_run &&
+                                route_->retry != retry_rule::kIdempotent;
+  if (is_relay && last_error_reply_.has_value() && !is_false_promise &&
       !last_error_reply_->stamp.empty()) {
     Finish(relayed_answer{.response = std::move(last_error_reply_->response),
                           .stamp = std::move(last_error_reply_->stamp)},
--- a/src/trefoilmill_entry/request_forwarder.cc
+++ b/src/trefoilmill_entry/request_forwarder.cc
@@ -259,9 +259,13 @@
     SendToNext(n);
     return;
   }
-  if (exchange.response.has_value() &&
-      found->second.so_far() != verdict::kNotRun &&
-      platform::StatesNotRun(*exchange.response)) {
+  const bool is_false_promise =
+      exchange.response.has_value() &&
+      (found->second.so_far() != verdict::kNotRun
+           ? platform::StatesNotRun(*exchange.response)
+           : found->second.request.at_most_once &&
+                 platform::IsRunAndStatesNotRun(*exchange.response));
+  if (is_false_promise) {
     Fail(n, reason_code::kNoReplica);
     return;
   }
--- a/src/trefoilmill_entry/request_forwarder.h
+++ b/src/trefoilmill_entry/request_forwarder.h
@@ -39,6 +39,8 @@
   /// The endpoints that it was sent to before. If there are any, no answer may
   /// say that it did not run.
   earlier_attempts attempts;
+  /// It may run only once.
+  bool at_most_once = false;
 };
 
 /// Marks a copy of the request for the other host, which cannot tell its caller
--- a/src/trefoilmill_entry/request_forwarder_test.cc
+++ b/src/trefoilmill_entry/request_forwarder_test.cc
@@ -25,6 +25,7 @@
   std::vector<host_id> cut_off;
   int run_here = 0;
   earlier_attempts attempts;
+  bool at_most_once = false;
   http_request last_run_here;
   /// Requests that other hosts do not answer.
   std::vector<http_responder> kept;
@@ -42,7 +43,8 @@
                            .request = std::move(request),
                            .responder = responder,
                            .answer_by = loop->Now() + seconds(5),
-                           .attempts = attempts});
+                           .attempts = attempts,
+                           .at_most_once = at_most_once});
       });
 
   fixture() {
@@ -253,6 +255,18 @@
   BOOST_TEST(run_here == 0);
 }
 
+// A host of an earlier version passes an endpoint's 503 on, though the request
+// ran. The caller would send it again.
+BOOST_AUTO_TEST_CASE(does_not_call_not_run_what_an_endpoint_ran) {
+  AddHost("b", [](const http_request&, const http_responder& responder) {
+    responder.Send(
+        {.status = 503, .headers = {{"Trefoilmill-Server-Stamp", "i-7.r-1"}}});
+  });
+  BOOST_TEST(Ask().response->status == 503);
+  at_most_once = true;
+  BOOST_TEST(Ask().response->status == 502);
+}
+
 BOOST_AUTO_TEST_CASE(does_not_send_again_what_may_have_run) {
   int ran = 0;
   const auto lose = [&](const http_request&, const http_responder& responder) {
--- a/src/trefoilmill_entry/request_handler_forward.cc
+++ b/src/trefoilmill_entry/request_handler_forward.cc
@@ -77,13 +77,15 @@
   if (shared_state_.answer_by.has_value()) {
     answer_by = std::min(answer_by, *shared_state_.answer_by);
   }
-  forwarder_.Forward({.id = routed.id,
-                      .identity = routed.identity,
-                      .organisation = routed.owner_id,
-                      .request = std::move(routed.original),
-                      .responder = responder,
-                      .answer_by = answer_by,
-                      .attempts = std::move(routed.attempts)});
+  forwarder_.Forward(
+      {.id = routed.id,
+       .identity = routed.identity,
+       .organisation = routed.owner_id,
+       .request = std::move(routed.original),
+       .responder = responder,
+       .answer_by = answer_by,
+       .attempts = std::move(routed.attempts),
+       .at_most_once = routed.matched->retry == retry_rule::kAtMostOnce});
 }
 
 }  // namespace trefoilmill::entry
