A host that was cut off asks restricted endpoints whether it still is

Cause: only responses end a cut, a host that is cut off sends no requests, and probes left out every endpoint that stated a limit. A limit ends only with a response or a report, and reports go to hosts that are not cut off.

Change: if fewer than three unrestricted endpoints may be asked, probes go to draining ones (health checks do not count there), to those with a limit within this host's share of it, and once a pause to those that asked for one. Cold ones are left alone for their warm-up, as the platform counts each request to them.

--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -163,6 +163,17 @@
   /// connections speaks against its use, and its load is not limited.
   bool MayProbe(time_point now, const endpoint_registry::entry& entry) const;
 
+  /// The endpoints that a host which may be cut off may ask for a sign of life.
+  /// If too few are unrestricted, they include endpoints that drain, that state
+  /// a limit of which this host has a part left, and that asked for a pause, of
+  /// which each is asked once a pause. Without these a host would not find out
+  /// that it reaches the endpoints again while all are restricted.
+  std::vector<endpoint_id> ProbeCandidates(
+      time_point now,
+      const endpoint_registry& registry) const;
+  /// The endpoint is asked: this counts towards its limit and its pause.
+  void OnProbe(time_point now, const endpoint_id& id);
+
   /// Whether this host has a connection to a usable endpoint of the service.
   bool HasConnectionTo(time_point now,
                        const endpoint_registry& registry,
@@ -227,6 +238,8 @@
     duration backoff{};
     /// End of the pause that the endpoint asked for, as this host prolonged it.
     time_point paused_until;
+    /// It was probed in its latest pause.
+    bool probed_in_pause = false;
     /// When the pause has ended however far a host prolonged it.
     time_point paused_anywhere_until;
     /// Length of the pause, as the endpoint asked for it.
@@ -254,6 +267,9 @@
   /// The same, whatever request limit it states.
   bool IsUsableButForLimit(time_point now,
                            const endpoint_registry::entry& entry) const;
+  /// Whether it may be probed if too few unrestricted endpoints are left.
+  bool MayProbeRestricted(time_point now,
+                          const endpoint_registry::entry& entry) const;
   /// Whether only the pause that the endpoint asked for prevents its use.
   bool IsOnlyPaused(time_point now,
                     const endpoint_registry::entry& entry) const;
--- a/src/libtrefoilmill/process/endpoint_selector_pauses.cc
+++ b/src/libtrefoilmill/process/endpoint_selector_pauses.cc
@@ -22,6 +22,9 @@
     return;
   }
   endpoint_stats& stats = found->second;
+  if (stats.paused_until <= now) {
+    stats.probed_in_pause = false;
+  }
   std::uniform_real_distribution<double> extension(0, kMaxPauseExtension);
   stats.paused_until =
       std::max(stats.paused_until, now + Scaled(pause, 1 + extension(rng_)));
--- a/src/trefoilmill_entry/reach_prober.cc
+++ b/src/trefoilmill_entry/reach_prober.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <ranges>
 #include <utility>
 #include <vector>
 
@@ -37,17 +36,13 @@
   if (!selector.reach().ShouldProbe(now) || probes_.size() >= kMaxProbes) {
     return;
   }
-  std::vector<const endpoint_record*> candidates;
-  for (const auto& entry :
-       std::views::values(shared_state_.registry.entries())) {
-    if (selector.MayProbe(now, entry)) {
-      candidates.push_back(&entry.record);
-    }
-  }
+  std::vector<endpoint_id> candidates =
+      selector.ProbeCandidates(now, shared_state_.registry);
   std::ranges::shuffle(candidates, random_);
   candidates.resize(std::min(candidates.size(), kProbesAtOnce));
-  for (const endpoint_record* endpoint : candidates) {
-    Probe(*endpoint, table.SettingsOf(endpoint->service).health_path);
+  for (const endpoint_id& id : candidates) {
+    const endpoint_record& endpoint = shared_state_.registry.Find(id)->record;
+    Probe(endpoint, table.SettingsOf(endpoint.service).health_path);
   }
 }
 
@@ -74,6 +69,7 @@
                                const std::string& health_path) {
   shared_state_.selector.reach().OnConnected(id);
   shared_state_.selector.crashes().OnAlive(loop_.Now(), id);
+  shared_state_.selector.OnProbe(loop_.Now(), id);
   probes_.at(number)->Send(
       {.method = "GET", .path = health_path}, kResponseTimeout,
       [this, number, id](const http_result& exchange) {
