--- a/src/libtmnet/http_connection.cc
+++ b/src/libtmnet/http_connection.cc
@@ -217,10 +217,7 @@
   VisitLastBytes(input, change->n_added, [connection](std::string_view bytes) {
     connection->framing.Consume(bytes);
   });
-  const bool is_malformed =
-      !connection->framing.empty() &&
-      connection->framing.front().found != message_framing::fault::kNone;
-  if (is_malformed || connection->received_bytes > limit) {
+  if (connection->framing.is_faulty() || connection->received_bytes > limit) {
     connection->PostIfCurrent(&impl::HandleMalformed);
   }
 }
@@ -267,8 +264,7 @@
   ++generation;
   evhttp_failure.reset();
   received_bytes = 0;
-  framing = message_framing::ForResponse(kMaxResponseHeaderBytes,
-                                         request.method == "HEAD");
+  framing.ExpectResponse(request.method == "HEAD");
   on_request_done = std::move(done);
   deadline = loop.RunAfter(timeout, [this] {
     FinishRequest({.failure_reason = http_failure::kTimeout}, false);
--- a/src/libtmnet/http_responder.cc
+++ b/src/libtmnet/http_responder.cc
@@ -64,7 +64,9 @@
       evhttp_connection_get_bufferevent(evhttp_request_get_connection(evreq));
   bufferevent_set_timeouts(bev, connection->idle_timeout,
                            connection->idle_timeout);
-  connection->on_malformed();
+  if (connection->framing.is_faulty()) {
+    connection->on_malformed();
+  }
 }
 
 void http_responder::impl::MarkCompleted() {
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -137,10 +137,6 @@
 
 void http_server::impl::PostRejection(evhttp_connection* evcon) {
   const server_connection& connection = *connections.at(evcon);
-  if (connection.framing.empty() ||
-      connection.framing.front().found == message_framing::fault::kNone) {
-    return;
-  }
   loop.Post([weak = std::weak_ptr(liveness_token), evcon, id = connection.id] {
     if (const auto owner = weak.lock()) {
       (*owner)->RejectMalformed(evcon, id);
@@ -249,7 +245,9 @@
   VisitLastBytes(input, change->n_added, [connection](std::string_view bytes) {
     connection->framing.Consume(bytes);
   });
-  connection->on_malformed();
+  if (connection->framing.is_faulty()) {
+    connection->on_malformed();
+  }
   // The rest of a request that is too large comes in while its refusal is
   // written.
   const bool is_ending = connection->refused || connection->closed_by_server;
--- a/src/libtmnet/http_server_impl.h
+++ b/src/libtmnet/http_server_impl.h
@@ -67,8 +67,7 @@
   static std::optional<http_response> CheckFraming(
       const message_framing::message& framed,
       const http_request& request);
-  /// Posts RejectMalformed() if the bytes of the connection's next request are
-  /// malformed.
+  /// Posts RejectMalformed(): the bytes of the next request are malformed.
   void PostRejection(evhttp_connection* evcon);
   /// Rejects the next request of a connection, unless evhttp has read it as one
   /// meanwhile: it may wait for bytes that never come. Closes the connection.
--- a/src/libtmnet/message_framing.cc
+++ b/src/libtmnet/message_framing.cc
@@ -1,6 +1,7 @@
 #include "message_framing.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -10,6 +11,9 @@
 namespace trefoilmill {
 namespace {
 
+constexpr std::string_view kContentLength = "Content-Length";
+constexpr std::string_view kTransferEncoding = "Transfer-Encoding";
+constexpr std::string_view kHost = "Host";
 constexpr int kDecimal = 10;
 constexpr int kHexadecimal = 16;
 /// Digits of the largest length and chunk size that are accepted; greater ones
@@ -21,24 +25,45 @@
 constexpr int kHttpNoContent = 204;
 constexpr int kHttpNotModified = 304;
 
-/// Whether `c` may be part of a method or of a header's name (RFC 9110, 5.6.2).
+/// What a byte may be part of.
+struct byte_classes {
+  /// A method or a header's name (RFC 9110, 5.6.2).
+  bool token = false;
+  /// A header's value or a reason phrase.
+  bool text = false;
+};
+
+constexpr std::size_t kByteValues = 256;
+
+constexpr std::array<byte_classes, kByteValues> MakeByteClasses() {
+  constexpr std::size_t kFirstPrintable = 0x20;
+  constexpr std::size_t kDelete = 0x7f;
+  std::array<byte_classes, kByteValues> classes{};
+  for (std::size_t code = 0; code < kByteValues; ++code) {
+    classes[code].text =
+        code == '\t' || (code >= kFirstPrintable && code != kDelete);
+  }
+  for (const char c : std::string_view(
+           "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789"
+           "!#$%&'*+-.^_`|~")) {
+    classes[static_cast<unsigned char>(c)].token = true;
+  }
+  return classes;
+}
+
+constexpr std::array<byte_classes, kByteValues> kByteClasses =
+    MakeByteClasses();
+
 bool IsTokenCharacter(char c) {
-  const bool is_letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-  const bool is_digit = c >= '0' && c <= '9';
-  return is_letter || is_digit ||
-         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+  return kByteClasses[static_cast<unsigned char>(c)].token;
 }
 
 bool IsToken(std::string_view text) {
   return !text.empty() && std::ranges::all_of(text, &IsTokenCharacter);
 }
 
-/// Whether `c` may be part of a header's value or of a reason phrase.
 bool IsTextCharacter(char c) {
-  constexpr unsigned char kFirstPrintable = 0x20;
-  constexpr unsigned char kDelete = 0x7f;
-  const auto code = static_cast<unsigned char>(c);
-  return c == '\t' || (code >= kFirstPrintable && code != kDelete);
+  return kByteClasses[static_cast<unsigned char>(c)].text;
 }
 
 /// Whether `c` may be part of a request target.
@@ -93,9 +118,16 @@
   return {false, max_line_bytes, to_head};
 }
 
+void message_framing::ExpectResponse(bool to_head) {
+  to_head_ = to_head;
+  state_ = state::kStartLine;
+  line_.clear();
+  messages_.clear();
+}
+
 message_framing::message message_framing::TakeFront() {
   message taken = std::move(messages_.front());
-  messages_.pop_front();
+  messages_.erase(messages_.begin());
   if (messages_.empty() && !taken.complete) {
     state_ = state::kDone;
   }
@@ -265,7 +297,8 @@
   ++current().headers;
   const std::string_view name = line.substr(0, colon);
   const std::string_view value = Trim(line.substr(colon + 1));
-  if (SameHeaderName(name, "Content-Length")) {
+  if (name.size() == kContentLength.size() &&
+      SameHeaderName(name, kContentLength)) {
     const auto length = ParseLength(value, kDecimal);
     if (!length.has_value() || body_.has_length) {
       Fail(fault::kMalformed);
@@ -273,13 +306,15 @@
     }
     body_.has_length = true;
     body_.length = *length;
-  } else if (SameHeaderName(name, "Transfer-Encoding")) {
+  } else if (name.size() == kTransferEncoding.size() &&
+             SameHeaderName(name, kTransferEncoding)) {
     if (body_.is_chunked || !SameHeaderName(value, "chunked")) {
       Fail(fault::kMalformed);
       return;
     }
     body_.is_chunked = true;
-  } else if (is_request_ && SameHeaderName(name, "Host")) {
+  } else if (is_request_ && name.size() == kHost.size() &&
+             SameHeaderName(name, kHost)) {
     if (body_.has_host) {
       Fail(fault::kMalformed);
       return;
--- a/src/libtmnet/message_framing.h
+++ b/src/libtmnet/message_framing.h
@@ -10,9 +10,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace trefoilmill {
 
@@ -44,9 +44,15 @@
   /// One response, and interim ones (1xx) before it. A response to a HEAD
   /// request has no body.
   static message_framing ForResponse(std::size_t max_line_bytes, bool to_head);
+  /// Begins anew, with the response to another request.
+  void ExpectResponse(bool to_head);
 
   void Consume(std::string_view bytes);
 
+  /// Whether the oldest message that was not taken has a fault.
+  bool is_faulty() const {
+    return !messages_.empty() && messages_.front().found != fault::kNone;
+  }
   /// Whether no message has begun that was not taken.
   bool empty() const { return messages_.empty(); }
   /// The oldest message that was not taken.
@@ -104,7 +110,8 @@
   body_headers body_;
   /// Bytes of the body, or of the chunk, that are still to come.
   std::uint64_t left_ = 0;
-  std::deque<message> messages_;
+  /// Few: those that came while a request was in progress.
+  std::vector<message> messages_;
 };
 
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/request/request_run_promise_test.cc
+++ b/src/libtrefoilmill/request/request_run_promise_test.cc
@@ -32,9 +32,8 @@
     case outcome_kind::kFailed:
       return endpoint_replied{.response = {.status = 500}, .stamp = "s"};
     case outcome_kind::kFailedWithPromise:
-      return endpoint_replied{.response = {.status = 503},
-                              .stamp = "s",
-                              .promises_not_run = true};
+      return endpoint_replied{
+          .response = {.status = 503}, .stamp = "s", .promises_not_run = true};
     case outcome_kind::kRefused:
       return endpoint_refused{reason_code::kShed};
     case outcome_kind::kLost:
