--- a/src/libtmnet/http_request_smuggling_test.cc
+++ b/src/libtmnet/http_request_smuggling_test.cc
@@ -100,7 +100,7 @@
           BOOST_REQUIRE(requests.empty());
           BOOST_TEST_INFO("split " << split << " got " << received);
           BOOST_TEST(StatusOf(received) ==
-                     (IsUnknownMethod(c) && c.body_bytes == 0 ? "501" : "400"));
+                     (IsUnknownMethod(c) && c.body_bytes == 0 ? "405" : "400"));
         }
       }
     }
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -293,7 +293,7 @@
     return reject(HTTP_BADREQUEST);
   }
   if (framed.method != request.method) {
-    return reject(HTTP_NOTIMPLEMENTED);
+    return reject(HTTP_BADMETHOD);
   }
   return std::nullopt;
 }
--- a/src/libtmnet/http_server_test.cc
+++ b/src/libtmnet/http_server_test.cc
@@ -97,11 +97,11 @@
 }
 
 // evhttp has no name for it, so that it would be sent on as another one.
-BOOST_FIXTURE_TEST_CASE(an_unsupported_method_is_not_implemented, fixture) {
+BOOST_FIXTURE_TEST_CASE(an_unsupported_method_is_not_allowed, fixture) {
   raw_client peer(*loop, server->port());
   peer.Write("BREW /pot HTTP/1.1\r\nHost: x\r\n\r\n");
   BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return peer.closed(); }));
-  BOOST_TEST(peer.received().starts_with("HTTP/1.1 501 "));
+  BOOST_TEST(peer.received().starts_with("HTTP/1.1 405 "));
   BOOST_TEST(requests.empty());
 }
 
