--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -152,19 +152,24 @@
         self.store.put("config", "main", configuration(7, extra=routes))
         self.hosts = [self.start_host(number + 1) for number in range(hosts)]
 
-    def serve_crashing(self, service, number, is_fatal, delay_s, down_s):
+    def serve_crashing(self, service, number, is_fatal, delay_s, down_s,
+                       form="refuse"):
         """Adds an endpoint that crashes under the requests for whose path
-        `is_fatal` is true, and is back after `down_s` with a new id."""
+        `is_fatal` is true, and is back after `down_s` with a new id. Meanwhile
+        it refuses connections; for other forms see Server.go_down()."""
         port = 9500 + number
         lives = itertools.count()
         lock = threading.Lock()
 
-        def start():
+        def start(server=None):
             name = f"{service}-{number}-life-{next(lives)}"
             endpoint = platform.Endpoint(name, record(1), delay_s)
             endpoint.is_fatal = is_fatal
-            server = platform.serve_endpoint(f"{self.network}.2.1", port,
-                                             endpoint)
+            if server is None:
+                server = platform.serve_endpoint(f"{self.network}.2.1", port,
+                                                 endpoint)
+            else:
+                server.start_again(platform.endpoint_responder(endpoint))
             endpoint.on_fatal = lambda: crash(name, server)
             self.endpoints[name] = endpoint
             self.register(name, service, port, born=time.time_ns() // 1000000)
@@ -174,10 +179,14 @@
                 if name in self.crashes:
                     return
                 self.crashes[name] = time.monotonic()
-            server.crash()
+            if form == "refuse":
+                server.crash()
+                server = None
+            else:
+                server.go_down(form)
             time.sleep(down_s)
             self.store.delete("servers", name)
-            start()
+            start(server)
 
         start()
 
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -175,36 +175,55 @@
         return not hung and self.modes.get(ip) != "reset"
 
 
-def _handler(respond):
-    class Handler(http.server.BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
-
-        def _serve(self):
-            size = int(self.headers.get("Content-Length", 0))
-            reply = respond(self, self.rfile.read(size))
-            if reply is None:
-                self.close_connection = True
-                return
-            status, headers, body = reply
-            self.send_response(status)
-            for name, value in headers.items():
-                self.send_header(name, value)
-            self.send_header("Content-Length", str(len(body)))
-            self.end_headers()
-            self.wfile.write(body)
-
-        do_GET = do_POST = do_PUT = do_DELETE = _serve
-
-        def log_message(self, *_):
-            pass
-
-    return Handler
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def setup(self):
+        self.life = self.server.life
+        super().setup()
+
+    def _serve(self):
+        size = int(self.headers.get("Content-Length", 0))
+        content = self.rfile.read(size)
+        reply = None
+        if not self.server.has_ended(self.life):
+            reply = self.server.respond(self, content)
+        if reply is None or self.server.has_ended(self.life):
+            self.close_connection = True
+            return
+        status, headers, body = reply
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    do_GET = do_POST = do_PUT = do_DELETE = _serve
+
+    def log_message(self, *_):
+        pass
+
+
+def _reset(connection):
+    """Closes a connection with a reset."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                              struct.pack("ii", 1, 0))
+        # Wakes its thread, which holds the socket open.
+        connection.shutdown(socket.SHUT_RD)
+        os.close(connection.detach())
+    except OSError:
+        """It was closed before."""
 
 
 def _listen(ip, port, respond, links=None):
     class Server(http.server.ThreadingHTTPServer):
         daemon_threads = True
         request_queue_size = 64
+        # How it is down, if it is, and how often it was started again.
+        down = None
+        life = 0
 
         def process_request(self, request, client_address):
             self.connections.append(request)
@@ -213,27 +232,50 @@
         def crash(self):
             """Ends as a process does that crashes: all connections are reset,
             and new ones refused, at once."""
+            self.life += 1
             self.socket.shutdown(socket.SHUT_RDWR)
             for connection in self.connections:
-                try:
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                          struct.pack("ii", 1, 0))
-                    # Wakes its thread, which holds the socket open.
-                    connection.shutdown(socket.SHUT_RD)
-                    os.close(connection.detach())
-                except OSError:
-                    """It was closed before."""
+                _reset(connection)
             self.shutdown()
             self.server_close()
 
+        def go_down(self, form):
+            """Ends as an endpoint does whose port stays open: with "reset" its
+            connections are reset, new ones as soon as they are accepted; with
+            "silent" nothing is read or written any more. Until start_again()."""
+            self.down = form
+            if form == "reset":
+                for connection in self.connections:
+                    _reset(connection)
+
         def verify_request(self, request, client_address):
+            if self.down == "reset":
+                _reset(request)
+                return False
             return links is None or links.accepts(client_address[0])
 
+        def start_again(self, respond):
+            """Starts after go_down(), with the port still open."""
+            self.life += 1
+            connections, self.connections = self.connections, []
+            for connection in connections:
+                _reset(connection)
+            self.respond = respond
+            self.down = None
+
+        def has_ended(self, life):
+            """Whether the endpoint of a connection has ended, by the life in
+            which that was accepted. Returns once it is not silent."""
+            while self.down == "silent" and self.life == life:
+                time.sleep(0.02)
+            return self.life != life or self.down is not None
+
         def handle_error(self, request, client_address):
             """Peers that reset a connection are part of the tests."""
 
-    server = Server((ip, port), _handler(respond))
+    server = Server((ip, port), Handler)
     server.connections = []
+    server.respond = respond
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
@@ -288,6 +330,11 @@
 
 def serve_endpoint(ip, port, endpoint, links=None):
     """Serves one endpoint."""
+    return _listen(ip, port, endpoint_responder(endpoint, links), links)
+
+
+def endpoint_responder(endpoint, links=None):
+    """Returns the function that answers an endpoint's requests."""
     def respond(request, body):
         if links is not None and not links.carries(request.client_address[0]):
             return None
@@ -331,4 +378,4 @@
             return 500, headers, b""
         return 200, headers, endpoint.records
 
-    return _listen(ip, port, respond, links)
+    return respond
--- a/src/include/trefoilmill/process/endpoint_registry.h
+++ b/src/include/trefoilmill/process/endpoint_registry.h
@@ -106,6 +106,10 @@
   /// Removes the entries whose removal time has come.
   changes RemoveExpired(time_point now);
 
+  /// Whether the instance of `id` that started at `started_ms` is gone without
+  /// having been draining: its entry lapsed, or another instance has its id or
+  /// its address.
+  bool HasEnded(const endpoint_id& id, std::uint64_t started_ms) const;
   /// The entry of an endpoint; nullptr if the id is unknown.
   const entry* Find(const endpoint_id& id) const;
   /// Endpoints of a service, ordered by id; empty if the service is unknown.
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -105,6 +105,7 @@
     stats_.erase(id);
     limits_.Forget(id);
     reach_.Forget(id);
+    crashes_.Forget(id);
   }
   /// The request limits that endpoints state.
   request_limits& limits() { return limits_; }
@@ -122,7 +123,7 @@
   /// A connection that was to show whether the endpoint is reached was refused.
   void OnProbeRefused(time_point now, const endpoint_id& id);
   /// A connection was established; ends the backoff.
-  void OnConnected(time_point now, const endpoint_id& id);
+  void OnConnected(const endpoint_id& id);
   /// The endpoint refused a request and wants none for `pause`. The time is
   /// prolonged at random, so that hosts do not all return at once.
   void OnPauseRequested(time_point now, const endpoint_id& id, duration pause);
@@ -196,6 +197,11 @@
   void OnSend(time_point now, const endpoint_id& id, attempt_id attempt);
   /// Takes back OnSend(): the send was planned but not carried out.
   void CancelSend(const endpoint_id& id, attempt_id attempt);
+  /// Whether the endpoint is known to be up: it has responded a moment ago, and
+  /// no request that it has is late.
+  bool IsKnownToBeUp(time_point now,
+                     const endpoint_id& id,
+                     duration expected) const;
   /// Number of sends to the endpoint that have not ended.
   std::size_t InFlight(const endpoint_id& id) const;
   /// A send ended, and is no longer in flight. Updates the endpoint's
--- a/src/include/trefoilmill/process/request_quarantine.h
+++ b/src/include/trefoilmill/process/request_quarantine.h
@@ -72,9 +72,13 @@
   /// An endpoint has ended with the request in flight. Returns whether that put
   /// the request in quarantine.
   bool OnEndpointEnded(time_point now, const crash_suspect& suspect);
-  /// The request failed, and connections broke while endpoints had it; whether
-  /// any has ended is not known yet.
-  void OnSuspected(time_point now, const request_identity& request);
+  /// The request failed or got no reply in time, and connections broke or
+  /// endpoints fell silent while they had it; whether any has ended is not
+  /// known yet. With `refuse`, or if it has a strike, it is refused for a
+  /// moment.
+  void OnSuspected(time_point now,
+                   const request_identity& request,
+                   bool refuse);
   /// An endpoint has replied to the request.
   void OnReplied(time_point now, const request_identity& request);
   /// Forgets what is too old to matter. To be called now and then.
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -172,6 +172,10 @@
     time_point sent;
     /// It was sent alone, as the request may end endpoints.
     bool cautious = false;
+    /// The endpoint was known to be up when it was sent.
+    bool to_live_endpoint = false;
+    /// It counts as unanswered: it is late, or its connection broke.
+    bool unanswered = false;
   };
   struct shard {
     service_id service;
@@ -236,6 +240,15 @@
       duration expected,
       duration time_left,
       endpoint_selector::purpose purpose) const;
+  /// The same among endpoints other than `never`.
+  endpoint_selector::selection SelectOther(
+      time_point now,
+      shared_request_state& shared,
+      const shard& s,
+      const std::vector<endpoint_id>& never,
+      duration expected,
+      duration time_left,
+      endpoint_selector::purpose purpose) const;
   /// The endpoints of the shard's service that may not get the request.
   std::vector<endpoint_id> ExcludedEndpoints(const endpoint_registry& registry,
                                              const shard& s) const;
@@ -291,6 +304,31 @@
   /// Whether only one endpoint at a time may get the request, as it may end
   /// endpoints and none has replied.
   bool IsCautious() const;
+  /// Indices of the shards in the order in which a request that may end
+  /// endpoints is sent to them: those with an endpoint that is known to be up
+  /// come first.
+  std::vector<std::size_t> CautiousOrder(
+      time_point now,
+      const shared_request_state& shared) const;
+  /// Counts an attempt that is late or whose connection broke.
+  void CountUnanswered(attempt& a);
+  /// Counts the attempts that are late by now.
+  void CountLateAttempts(time_point now, const shared_request_state& shared);
+  /// If every attempt in flight is late, sends the request to one more
+  /// endpoint, a limited number of times.
+  void HedgeCautiously(time_point now,
+                       shared_request_state& shared,
+                       actions& out);
+  /// Number of attempts, sent one at a time and without a reply, after which it
+  /// goes to no other endpoint.
+  std::size_t MaxUnansweredCautious(const shared_request_state& shared) const;
+  /// When hosts are next to be warned of this request for want of any reply;
+  /// nullopt if it is not to be expected.
+  std::optional<time_point> SuspicionTime(
+      const shared_request_state& shared) const;
+  /// Warns against requests like this one if no endpoint has replied for so
+  /// long that some may have ended.
+  void RecordSilence(time_point now, shared_request_state& shared);
   /// Whether no further endpoint may get it.
   bool MustStop(time_point now, const shared_request_state& shared) const;
   /// An endpoint has replied, so that the request is harmless.
@@ -298,7 +336,7 @@
   /// Records a lost reply, which may be due to the end of the endpoint.
   void RecordLoss(time_point now,
                   shared_request_state& shared,
-                  const attempt& lost,
+                  attempt lost,
                   reason_code reason);
   /// If the request has failed after connections broke, warns against requests
   /// like it.
@@ -351,6 +389,9 @@
                     actions& out) const;
 
   bool CanRetry(const shard& s) const;
+  /// Whether a second endpoint may get the shard while a first one has it.
+  bool MayHedge(time_point now, const shard& s) const;
+  /// The same, for all late shards at once.
   bool CanHedge(time_point now, const shard& s) const;
   /// When the shard's next hedge is due: at `next_hedge_at` if set, else
   /// `delay` after its oldest attempt in flight was sent.
@@ -378,10 +419,13 @@
   request_priority priority_;
   /// Endpoints have ended under earlier requests like this one.
   bool suspect_ = false;
-  /// Attempts whose connection broke before a reply, and those of them that
-  /// were sent alone.
-  std::size_t broken_attempts_ = 0;
-  std::size_t broken_cautious_attempts_ = 0;
+  /// Attempts whose reply is late or whose connection broke before it, and
+  /// those of them that were sent alone.
+  std::size_t unanswered_attempts_ = 0;
+  std::size_t unanswered_cautious_attempts_ = 0;
+  /// How far other hosts were warned of it for want of any reply.
+  enum class warning { kNone, kSuspect, kRefuse };
+  warning warned_ = warning::kNone;
   std::vector<shard> shards_;
   /// Endpoints that other hosts sent the request to, of services that are not
   /// among the shards: another version of the configuration named them.
--- a/src/libtrefoilmill/process/endpoint_crashes.cc
+++ b/src/libtrefoilmill/process/endpoint_crashes.cc
@@ -8,10 +8,16 @@
 namespace trefoilmill {
 namespace {
 
-/// How long a lost reply may be due to the endpoint's end, and how long a
-/// refusal waits to be confirmed: long enough for several connections, as a
-/// busy host may take a refusal for a timeout.
+/// How long a lost reply may be due to an end that a refusal shows, and how
+/// long a refusal waits to be confirmed: long enough for several connections,
+/// as a busy host may take a refusal for a timeout.
 constexpr duration kMaxAge = std::chrono::milliseconds(1200);
+/// How long a lost reply may be due to an end that a change of the instance
+/// shows: an entry may lapse, and be replaced, some seconds after the end.
+constexpr duration kMaxAgeUntilGone = std::chrono::seconds(15);
+/// An endpoint that responded so long ago at most was probably up. Callers
+/// whose endpoints have all ended return later than this.
+constexpr duration kFreshTime = std::chrono::milliseconds(500);
 /// What was on its way when a link broke may still arrive for so long.
 constexpr duration kSettleTime = std::chrono::milliseconds(10);
 /// A pool that reconnects by itself does so sooner than this.
@@ -29,14 +35,18 @@
     return;
   }
   endpoint_losses& at_endpoint = losses_[suspect.endpoint];
+  if (!at_endpoint.suspects.empty() &&
+      at_endpoint.suspects.front().started_ms != suspect.started_ms) {
+    // Another instance has the id.
+    at_endpoint = {};
+  }
   at_endpoint.checked = at_endpoint.checked && suspect.abandoned;
+  at_endpoint.accepted = at_endpoint.accepted && suspect.abandoned;
   at_endpoint.suspects.push_back(suspect);
 }
 
 void endpoint_crashes::OnAlive(time_point now, const endpoint_id& id) {
-  if (losses_.empty()) {
-    return;
-  }
+  last_alive_[id] = now;
   if (latest_alive_.endpoint != id) {
     other_alive_ = std::exchange(latest_alive_, {});
   }
@@ -46,46 +56,128 @@
     return;
   }
   found->second.refused_at.reset();
+  found->second.closes = false;
   // What was abandoned may still be running, and end it yet.
   std::erase_if(found->second.suspects,
                 [](const crash_suspect& s) { return !s.abandoned; });
+  for (crash_suspect& s : found->second.suspects) {
+    s.sent_to_live_at.reset();
+  }
   if (found->second.suspects.empty()) {
     losses_.erase(found);
   }
 }
 
+void endpoint_crashes::OnConnected(const endpoint_id& id) {
+  const auto found = losses_.find(id);
+  if (found == losses_.end()) {
+    return;
+  }
+  found->second.accepted = true;
+  if (!found->second.closes) {
+    found->second.refused_at.reset();
+  }
+}
+
 void endpoint_crashes::OnConnectRefused(time_point now, const endpoint_id& id) {
   DropExpired(now);
   const auto found = losses_.find(id);
-  if (found != losses_.end() && !found->second.refused_at.has_value()) {
+  if (found != losses_.end() && !found->second.refused_at.has_value() &&
+      !found->second.accepted) {
     found->second.refused_at = now;
   }
 }
 
+void endpoint_crashes::OnClosedUnused(time_point now, const endpoint_id& id) {
+  DropExpired(now);
+  const auto found = losses_.find(id);
+  if (found == losses_.end()) {
+    return;
+  }
+  endpoint_losses& at_endpoint = found->second;
+  if (!at_endpoint.refused_at.has_value()) {
+    at_endpoint.refused_at = now;
+    at_endpoint.closes = true;
+    at_endpoint.has_closed_again = false;
+    at_endpoint.checked_again = false;
+    return;
+  }
+  at_endpoint.has_closed_again =
+      at_endpoint.has_closed_again ||
+      OthersAliveAfter(id, *at_endpoint.refused_at + kSettleTime);
+}
+
+bool endpoint_crashes::HasRefused(const endpoint_id& id,
+                                  const endpoint_losses& lost) const {
+  return lost.refused_at.has_value() &&
+         (lost.has_closed_again ||
+          (!lost.closes &&
+           OthersAliveAfter(id, *lost.refused_at + kSettleTime)));
+}
+
+void endpoint_crashes::OnInstanceGone(time_point now, const endpoint_id& id) {
+  DropExpired(now);
+  const auto found = losses_.find(id);
+  if (found != losses_.end()) {
+    found->second.is_gone = true;
+  }
+}
+
+bool endpoint_crashes::IsFresh(time_point now, const endpoint_id& id) const {
+  const auto found = last_alive_.find(id);
+  return found != last_alive_.end() && now - found->second <= kFreshTime;
+}
+
+bool endpoint_crashes::AnyAliveAfter(time_point since) const {
+  return latest_alive_.endpoint != endpoint_id() && latest_alive_.at > since;
+}
+
 void endpoint_crashes::Exonerate(const request_identity& request) {
   for (endpoint_losses& at_endpoint : losses_ | std::views::values) {
     std::erase_if(at_endpoint.suspects,
                   [&](const crash_suspect& s) { return s.request == request; });
   }
-  std::erase_if(
-      losses_, [](const auto& entry) { return entry.second.suspects.empty(); });
+  DropEmpty();
 }
 
 std::vector<crash_suspect> endpoint_crashes::TakeConfirmed(time_point now) {
   DropExpired(now);
   std::vector<crash_suspect> confirmed;
-  std::erase_if(losses_, [&](const auto& entry) {
-    const auto& [id, at_endpoint] = entry;
-    if (!at_endpoint.refused_at.has_value() ||
-        !OthersAliveAfter(id, *at_endpoint.refused_at + kSettleTime)) {
-      return false;
-    }
-    std::ranges::copy(at_endpoint.suspects, std::back_inserter(confirmed));
-    return true;
-  });
+  for (auto& [id, at_endpoint] : losses_) {
+    const auto& refused_at = at_endpoint.refused_at;
+    const bool has_refused = HasRefused(id, at_endpoint);
+    std::erase_if(at_endpoint.suspects, [&](crash_suspect& s) {
+      const bool broke_with_it =
+          has_refused && *refused_at - s.lost_at <= kMaxAge;
+      const bool was_silent =
+          s.sent_to_live_at.has_value() &&
+          (!broke_with_it || s.lost_at - *s.sent_to_live_at > kFreshTime);
+      const bool fell_silent_with_it =
+          s.sent_to_live_at.has_value() && (has_refused || at_endpoint.is_gone);
+      if (!broke_with_it && !fell_silent_with_it) {
+        return has_refused;
+      }
+      s.lost_at = was_silent ? *s.sent_to_live_at : s.lost_at;
+      s.evidence = !has_refused         ? end_evidence::kInstanceGone
+                   : at_endpoint.closes ? end_evidence::kClosed
+                                        : end_evidence::kRefused;
+      confirmed.push_back(s);
+      return true;
+    });
+  }
+  DropEmpty();
   return confirmed;
 }
 
+std::vector<std::pair<endpoint_id, std::uint64_t>>
+endpoint_crashes::SuspectedInstances() const {
+  std::vector<std::pair<endpoint_id, std::uint64_t>> instances;
+  for (const auto& [id, at_endpoint] : losses_) {
+    instances.emplace_back(id, at_endpoint.suspects.front().started_ms);
+  }
+  return instances;
+}
+
 std::vector<endpoint_id> endpoint_crashes::TakeUnchecked(time_point now) {
   std::vector<endpoint_id> unchecked;
   for (auto& [id, at_endpoint] : losses_) {
@@ -93,9 +185,15 @@
         at_endpoint.suspects, [now](const crash_suspect& s) {
           return !s.abandoned && now - s.lost_at >= kCheckDelay;
         });
-    if (is_due && !at_endpoint.checked && !at_endpoint.refused_at.has_value()) {
+    const auto& refused_at = at_endpoint.refused_at;
+    if (is_due && !at_endpoint.checked && !refused_at.has_value()) {
       at_endpoint.checked = true;
       unchecked.push_back(id);
+    } else if (refused_at.has_value() && at_endpoint.closes &&
+               !at_endpoint.checked_again &&
+               OthersAliveAfter(id, *refused_at + kSettleTime)) {
+      at_endpoint.checked_again = true;
+      unchecked.push_back(id);
     }
   }
   return unchecked;
@@ -123,18 +221,33 @@
 
 void endpoint_crashes::DropExpired(time_point now) {
   for (endpoint_losses& at_endpoint : losses_ | std::views::values) {
-    if (!at_endpoint.refused_at.has_value()) {
-      std::erase_if(at_endpoint.suspects, [now](const crash_suspect& s) {
-        return now - s.lost_at > kMaxAge;
-      });
+    std::optional<time_point>& refused_at = at_endpoint.refused_at;
+    if (refused_at.has_value() && now - *refused_at > kMaxAge) {
+      refused_at.reset();
+      at_endpoint.closes = false;
     }
+    std::erase_if(at_endpoint.suspects, [&](const crash_suspect& s) {
+      if (refused_at.has_value() && *refused_at - s.lost_at <= kMaxAge) {
+        return false;
+      }
+      return now - s.lost_at >
+             (s.sent_to_live_at.has_value() ? kMaxAgeUntilGone : kMaxAge);
+    });
   }
-  std::erase_if(losses_, [now](const auto& entry) {
-    const endpoint_losses& at_endpoint = entry.second;
-    return at_endpoint.suspects.empty() ||
-           (at_endpoint.refused_at.has_value() &&
-            now - *at_endpoint.refused_at > kMaxAge);
-  });
+  DropEmpty();
+}
+
+void endpoint_crashes::DropEmpty() {
+  std::erase_if(
+      losses_, [](const auto& entry) { return entry.second.suspects.empty(); });
+}
+
+bool endpoint_crashes::IsUndecided(time_point now) const {
+  return std::ranges::any_of(
+      losses_ | std::views::values, [now](const endpoint_losses& at_endpoint) {
+        return at_endpoint.refused_at.has_value() ||
+               now - at_endpoint.suspects.back().lost_at <= kMaxAge;
+      });
 }
 
 std::size_t endpoint_crashes::size() const {
--- a/src/libtrefoilmill/process/endpoint_crashes_test.cc
+++ b/src/libtrefoilmill/process/endpoint_crashes_test.cc
@@ -33,6 +33,19 @@
                          .lost_at = at});
   }
   void Refuse(time_point at) { crashes.OnConnectRefused(at, ended_id); }
+  /// A reply is lost some time after the endpoint has fallen silent, which was
+  /// up when the request was sent.
+  void LoseSilently(std::uint64_t request,
+                    time_point sent,
+                    time_point lost,
+                    const endpoint_id& at = ended_id) {
+    crashes.OnReplyLost({.endpoint = at,
+                         .started_ms = 7,
+                         .request = Request(request),
+                         .abandoned = true,
+                         .lost_at = lost,
+                         .sent_to_live_at = sent});
+  }
 };
 
 }  // namespace
@@ -112,6 +125,89 @@
   BOOST_TEST(!crashes.TakeNeedForSignOfLife(kStart + milliseconds(100)));
 }
 
+// A supervisor holds the port of an endpoint that has ended: connections are
+// accepted and closed.
+BOOST_AUTO_TEST_CASE(has_ended_if_it_closes_connections_unused) {
+  Lose(1);
+  crashes.OnConnected(ended_id);
+  crashes.OnClosedUnused(kStart + milliseconds(3), ended_id);
+  BOOST_TEST(crashes.TakeUnchecked(kStart + milliseconds(10)).empty());
+  crashes.OnAlive(kStart + milliseconds(20), other_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(20)).empty());
+  BOOST_TEST(crashes.TakeUnchecked(kStart + milliseconds(20)).size() == 1U);
+  BOOST_TEST(crashes.TakeUnchecked(kStart + milliseconds(20)).empty());
+  crashes.OnConnected(ended_id);
+  crashes.OnClosedUnused(kStart + milliseconds(22), ended_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(22)).size() == 1U);
+}
+
+// The links of the host are reset for a moment: once others respond, so does
+// it.
+BOOST_AUTO_TEST_CASE(is_not_blamed_for_a_link_that_is_whole_again) {
+  Lose(1);
+  crashes.OnConnected(ended_id);
+  crashes.OnClosedUnused(kStart + milliseconds(3), ended_id);
+  crashes.OnClosedUnused(kStart + milliseconds(300), ended_id);
+  crashes.OnAlive(kStart + milliseconds(600), other_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(600)).empty());
+  crashes.OnConnected(ended_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(610)).empty());
+  crashes.OnAlive(kStart + milliseconds(620), ended_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(620)).empty());
+  BOOST_TEST(crashes.empty());
+}
+
+// All links of the host are reset, those of the other endpoint too: that it
+// accepts a connection is no sign that it is reached.
+BOOST_AUTO_TEST_CASE(is_not_blamed_for_a_link_that_is_reset) {
+  Lose(1);
+  crashes.OnConnected(ended_id);
+  crashes.OnClosedUnused(kStart + milliseconds(3), ended_id);
+  crashes.OnConnected(other_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(20)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(has_ended_if_it_is_silent_until_its_instance_is_gone) {
+  LoseSilently(1, kStart, kStart + seconds(2));
+  crashes.OnConnected(ended_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + seconds(3)).empty());
+  crashes.OnInstanceGone(kStart + seconds(4), ended_id);
+  const auto confirmed = crashes.TakeConfirmed(kStart + seconds(4));
+  BOOST_TEST_REQUIRE(confirmed.size() == 1U);
+  // Dated to when it was sent, as the loss may have been noticed at any time.
+  BOOST_TEST((confirmed[0].lost_at == kStart));
+  BOOST_TEST((confirmed[0].evidence == end_evidence::kInstanceGone));
+  BOOST_TEST(crashes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(has_not_ended_if_it_only_paused) {
+  LoseSilently(1, kStart, kStart + seconds(2));
+  crashes.OnAlive(kStart + seconds(3), ended_id);
+  crashes.OnInstanceGone(kStart + seconds(4), ended_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + seconds(4)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(did_not_end_under_what_it_got_when_it_was_down) {
+  Lose(1, kStart + seconds(1));
+  crashes.OnInstanceGone(kStart + seconds(2), ended_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + seconds(2)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(may_be_gone_for_any_reason_long_after) {
+  LoseSilently(1, kStart, kStart + seconds(2));
+  crashes.OnInstanceGone(kStart + seconds(30), ended_id);
+  BOOST_TEST(crashes.TakeConfirmed(kStart + seconds(30)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_fresh_for_a_moment_after_a_response) {
+  BOOST_TEST(!crashes.IsFresh(kStart, ended_id));
+  crashes.OnAlive(kStart, ended_id);
+  BOOST_TEST(crashes.IsFresh(kStart + milliseconds(400), ended_id));
+  BOOST_TEST(!crashes.IsFresh(kStart + seconds(1), ended_id));
+  crashes.Forget(ended_id);
+  BOOST_TEST(!crashes.IsFresh(kStart + milliseconds(400), ended_id));
+}
+
 BOOST_AUTO_TEST_CASE(holds_a_limited_number_of_suspects) {
   for (std::uint64_t request = 0; request < 10'000; ++request) {
     Lose(request);
--- a/src/libtrefoilmill/process/endpoint_registry.cc
+++ b/src/libtrefoilmill/process/endpoint_registry.cc
@@ -142,6 +142,25 @@
   out.emplace_back(removed{id});
 }
 
+bool endpoint_registry::HasEnded(const endpoint_id& id,
+                                 std::uint64_t started_ms) const {
+  const entry* known = Find(id);
+  if (known == nullptr) {
+    return !departures_.contains(id);
+  }
+  const endpoint_record& record = known->record;
+  if (record.started_ms != started_ms || known->address_reused) {
+    return true;
+  }
+  return !record.draining &&
+         std::ranges::any_of(
+             EndpointsOf(record.service), [&](const endpoint_id& other) {
+               const endpoint_record& r = Find(other)->record;
+               return other != id && r.address == record.address &&
+                      r.started_ms > started_ms;
+             });
+}
+
 const endpoint_registry::entry* endpoint_registry::Find(
     const endpoint_id& id) const {
   const auto found = entries_.find(id);
--- a/src/libtrefoilmill/process/endpoint_registry_test.cc
+++ b/src/libtrefoilmill/process/endpoint_registry_test.cc
@@ -133,6 +133,58 @@
   BOOST_TEST(entry->record.draining);
 }
 
+BOOST_FIXTURE_TEST_CASE(an_instance_ends_when_another_takes_its_address,
+                        fixture) {
+  endpoint_record record = Record("a");
+  record.started_ms = 7;
+  registry.Put(now, record);
+  BOOST_TEST(!registry.HasEnded(record.id, 7));
+  endpoint_record next = record;
+  next.id = endpoint_id("b");
+  next.started_ms = 9;
+  registry.Put(now, next);
+  BOOST_TEST(registry.HasEnded(record.id, 7));
+  BOOST_TEST(!registry.HasEnded(next.id, 9));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_instance_ends_when_another_takes_its_id, fixture) {
+  endpoint_record record = Record("a");
+  record.started_ms = 7;
+  registry.Put(now, record);
+  record.started_ms = 8;
+  registry.Put(now, record);
+  BOOST_TEST(registry.HasEnded(record.id, 7));
+  BOOST_TEST(!registry.HasEnded(record.id, 8));
+}
+
+// An entry can lapse while its endpoint lives.
+BOOST_FIXTURE_TEST_CASE(an_instance_ends_when_its_entry_is_gone_for_good,
+                        fixture) {
+  endpoint_record record = Record("a");
+  record.started_ms = 7;
+  registry.Put(now, record);
+  registry.Withdraw(now, record.id);
+  BOOST_TEST(!registry.HasEnded(record.id, 7));
+  now += std::chrono::minutes(1);
+  registry.RemoveExpired(now);
+  BOOST_TEST(registry.HasEnded(record.id, 7));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_instance_that_drained_has_left_in_order, fixture) {
+  endpoint_record record = Record("a");
+  record.started_ms = 7;
+  record.draining = true;
+  registry.Put(now, record);
+  endpoint_record next = record;
+  next.id = endpoint_id("b");
+  next.draining = false;
+  next.started_ms = 9;
+  registry.Put(now, next);
+  BOOST_TEST(!registry.HasEnded(record.id, 7));
+  registry.Withdraw(now, record.id);
+  BOOST_TEST(!registry.HasEnded(record.id, 7));
+}
+
 BOOST_FIXTURE_TEST_CASE(departures_are_forgotten, fixture) {
   endpoint_record record = Record("a");
   record.started_ms = 7;
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -123,12 +123,12 @@
                          found != stats_.end() && HasConnection(found->second));
 }
 
-void endpoint_selector::OnConnected(time_point now, const endpoint_id& id) {
+void endpoint_selector::OnConnected(const endpoint_id& id) {
   endpoint_stats& stats = stats_[id];
   stats.backoff = duration::zero();
   stats.backoff_until = time_point();
   reach_.OnConnected(id);
-  crashes_.OnAlive(now, id);
+  crashes_.OnConnected(id);
 }
 
 double endpoint_selector::LatencyRatio(time_point now,
@@ -145,6 +145,18 @@
   return waited_ratio > kPauseRatio ? std::max(ratio, waited_ratio) : ratio;
 }
 
+bool endpoint_selector::IsKnownToBeUp(time_point now,
+                                      const endpoint_id& id,
+                                      duration expected) const {
+  const auto found = stats_.find(id);
+  if (found == stats_.end() || !crashes_.IsFresh(now, id)) {
+    return false;
+  }
+  const auto& in_flight = found->second.in_flight;
+  return in_flight.empty() || RelativeLatency(now - in_flight.begin()->second,
+                                              expected) <= kPauseRatio;
+}
+
 std::optional<duration> endpoint_selector::PredictLatency(
     time_point now,
     const endpoint_registry& registry,
--- a/src/libtrefoilmill/process/request_quarantine.cc
+++ b/src/libtrefoilmill/process/request_quarantine.cc
@@ -82,10 +82,11 @@
 }
 
 void request_quarantine::OnSuspected(time_point now,
-                                     const request_identity& request) {
+                                     const request_identity& request,
+                                     bool refuse) {
   record& r = RecordOf(now, request.content_and_caller);
   r.suspect_until = now + kSuspectTime;
-  if (!r.strikes.empty()) {
+  if (refuse || !r.strikes.empty()) {
     r.refused_until = now + kRefusalTime;
   }
   r.news_left = kNewsTransmissions;
--- a/src/libtrefoilmill/process/request_quarantine_test.cc
+++ b/src/libtrefoilmill/process/request_quarantine_test.cc
@@ -105,7 +105,7 @@
 
 // The caller returns before it is known whether an endpoint has ended.
 BOOST_AUTO_TEST_CASE(that_failed_is_suspect_for_a_moment) {
-  host.OnSuspected(now, fatal);
+  host.OnSuspected(now, fatal, /*refuse=*/false);
   request_quarantine other;
   Exchange(host, other, now);
   BOOST_TEST((other.StandingOf(now, fatal) == request_standing::kSuspect));
@@ -113,10 +113,19 @@
   BOOST_TEST((other.StandingOf(now, fatal) == request_standing::kClear));
 }
 
+BOOST_AUTO_TEST_CASE(that_was_silent_again_is_refused_for_a_moment) {
+  host.OnSuspected(now, fatal, /*refuse=*/true);
+  request_quarantine other;
+  Exchange(host, other, now);
+  BOOST_TEST(IsQuarantined(other, fatal, now));
+  now += seconds(1);
+  BOOST_TEST(!IsQuarantined(other, fatal, now));
+}
+
 BOOST_AUTO_TEST_CASE(with_a_strike_that_failed_is_refused_for_a_moment) {
   StrikeTimes(1);
   now += seconds(5);
-  host.OnSuspected(now, fatal);
+  host.OnSuspected(now, fatal, /*refuse=*/false);
   request_quarantine other;
   Exchange(host, other, now);
   BOOST_TEST(IsQuarantined(other, fatal, now));
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -142,13 +142,39 @@
     duration expected,
     duration time_left,
     endpoint_selector::purpose purpose) const {
+  std::vector<endpoint_id> excluded = ExcludedEndpoints(shared.registry, s);
+  if (!IsCautious()) {
+    return SelectOther(now, shared, s, excluded, expected, time_left, purpose);
+  }
+  // An end shows what it is due to only if the endpoint was up before.
+  std::vector<endpoint_id> not_known_up = excluded;
+  std::ranges::copy_if(
+      shared.registry.EndpointsOf(s.service), std::back_inserter(not_known_up),
+      [&](const endpoint_id& id) {
+        return !shared.selector.IsKnownToBeUp(now, id, expected);
+      });
+  auto selection =
+      SelectOther(now, shared, s, not_known_up, expected, time_left, purpose);
+  if (std::holds_alternative<endpoint_selector::selected>(selection)) {
+    return selection;
+  }
+  return SelectOther(now, shared, s, excluded, expected, time_left, purpose);
+}
+
+endpoint_selector::selection request_run::SelectOther(
+    time_point now,
+    shared_request_state& shared,
+    const shard& s,
+    const std::vector<endpoint_id>& never,
+    duration expected,
+    duration time_left,
+    endpoint_selector::purpose purpose) const {
   const auto select = [&](const std::vector<endpoint_id>& excluded) {
     return shared.selector.Select(now, shared.registry, s.service, excluded,
                                   expected, time_left, purpose);
   };
   const auto choice =
       shared.rollouts.Choose(now, s.service, s.tried_endpoints.empty());
-  const std::vector<endpoint_id> never = ExcludedEndpoints(shared.registry, s);
   if (choice == rollout_table::version_choice::kAny) {
     return select(never);
   }
@@ -252,8 +278,12 @@
   shard& s = shards_[index];
   const attempt_id id(++shared.last_attempt_id);
   s.tried_endpoints.push_back(endpoint);
-  s.in_flight.push_back(
-      {.id = id, .endpoint = endpoint, .sent = now, .cautious = IsCautious()});
+  s.in_flight.push_back({.id = id,
+                         .endpoint = endpoint,
+                         .sent = now,
+                         .cautious = IsCautious(),
+                         .to_live_endpoint = shared.selector.IsKnownToBeUp(
+                             now, endpoint, ExpectedLatency(shared, *route_))});
   s.awaiting_capacity = false;
   s.obstacle = resend_obstacle::kNone;
   ++counts_.sends;
@@ -303,6 +333,10 @@
     s.reply = std::move(std::get<endpoint_replied>(outcome));
     ++counts_.answered;
     ReleaseHeld(now, shared, out);
+    if (counts_.answered == 1) {
+      // They may have been held back for want of any reply.
+      HedgeLateShards(now, shared, out);
+    }
     FinishIfDue(now, out);
   } else {
     counts_.last_failure = FailureReason(outcome);
@@ -421,6 +455,7 @@
     return ContinueDeferred(now, shared);
   }
   HedgeLateShards(now, shared, out);
+  RecordSilence(now, shared);
   FinishIfDue(now, out);
   ScheduleWake(now, shared, out);
   return out;
@@ -448,6 +483,14 @@
     if (CanHedge(now, s)) {
       consider(HedgeTime(s, delay));
     }
+    for (const attempt& a : s.in_flight) {
+      if (counts_.answered == 0 && !a.unanswered) {
+        consider(a.sent + delay);
+      }
+    }
+  }
+  if (const auto suspicion = SuspicionTime(shared)) {
+    consider(*suspicion);
   }
   out.emplace_back(wake{next});
 }
--- a/src/libtrefoilmill/request/request_run_caution_test.cc
+++ b/src/libtrefoilmill/request/request_run_caution_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 const request_identity identity = {
     .content = request_fingerprint(1),
@@ -142,6 +143,90 @@
   BOOST_TEST(shared.selector.crashes().empty());
 }
 
+// Endpoints fall silent under it: the first sends, and two more one at a time.
+BOOST_FIXTURE_TEST_CASE(a_sweep_without_any_reply_is_hedged_one_by_one,
+                        fixture) {
+  StartIdentified("/sweep/1");
+  RunUntil(now + milliseconds(25));
+  BOOST_TEST(sends.size() == 11U);
+  RunUntil(now + milliseconds(300));
+  BOOST_TEST(sends.size() == 12U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_sweep_with_a_late_reply_is_hedged_as_usual, fixture) {
+  StartIdentified("/sweep/1");
+  RunUntil(now + milliseconds(25));
+  ReportReply(request_run::send(sends[10]));
+  RunUntil(now + milliseconds(30));
+  BOOST_TEST(sends.size() > 15U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_sweep_without_any_reply_is_suspect, fixture) {
+  StartIdentified("/sweep/1");
+  RunUntil(now + milliseconds(90));
+  shared.selector.crashes().OnAlive(now, Endpoint(0, 2));
+  RunUntil(now + milliseconds(20));
+  BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
+              request_standing::kSuspect));
+}
+
+// Two further endpoints are silent, which it was sent to one after the other.
+BOOST_FIXTURE_TEST_CASE(a_sweep_that_is_silent_again_is_refused_for_a_moment,
+                        fixture) {
+  StartIdentified("/sweep/1");
+  for (int step = 0; step < 30; ++step) {
+    shared.selector.crashes().OnAlive(now, Endpoint(0, 2));
+    RunUntil(now + milliseconds(10));
+  }
+  BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
+              request_standing::kQuarantined));
+  BOOST_TEST(!shared.quarantine.HasStrikes(identity));
+}
+
+// The host has lost its links, or all endpoints pause.
+BOOST_FIXTURE_TEST_CASE(no_sweep_is_suspect_while_no_endpoint_responds,
+                        fixture) {
+  StartIdentified("/sweep/1");
+  RunUntil(now + milliseconds(300));
+  BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
+              request_standing::kClear));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_suspect_goes_to_an_endpoint_that_is_up_first,
+                        fixture) {
+  BecomeSuspect();
+  shared.selector.crashes().OnAlive(now, Endpoint(7, 1));
+  StartIdentified("/sweep/1");
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  BOOST_TEST((sends[0].endpoint == Endpoint(7, 1)));
+}
+
+// All endpoints of a service are lost at once; callers come again meanwhile.
+BOOST_FIXTURE_TEST_CASE(nobody_is_blamed_for_the_loss_of_all_endpoints,
+                        fixture) {
+  for (int replica = 0; replica < kReplicas; ++replica) {
+    shared.selector.crashes().OnAlive(now, Endpoint(0, replica));
+  }
+  now += milliseconds(100);
+  for (int attempt = 0; attempt < 4; ++attempt) {
+    shared.selector.crashes().OnAlive(now, Endpoint(1, 0));
+    sends.clear();
+    answer.reset();
+    StartIdentified("/read/1");
+    RunUntil(now + milliseconds(700));
+  }
+  for (int replica = 0; replica < kReplicas; ++replica) {
+    shared.selector.crashes().OnInstanceGone(now, Endpoint(0, replica));
+  }
+  for (const crash_suspect& suspect :
+       shared.selector.crashes().TakeConfirmed(now)) {
+    shared.quarantine.OnEndpointEnded(now, suspect);
+  }
+  now += seconds(3);
+  BOOST_TEST((shared.quarantine.StandingOf(now, identity) !=
+              request_standing::kQuarantined));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_request_put_in_quarantine_meanwhile_is_not_sent_again,
                         fixture) {
   StartIdentified("/read/1");
--- a/src/libtrefoilmill/request/request_run_hedge.cc
+++ b/src/libtrefoilmill/request/request_run_hedge.cc
@@ -47,12 +47,16 @@
   return AttainableCoverage() - shard_fraction < gather->min_coverage;
 }
 
-bool request_run::CanHedge(time_point now, const shard& s) const {
+bool request_run::MayHedge(time_point now, const shard& s) const {
   return route_->retry == retry_rule::kIdempotent && s.pending() &&
-         !s.in_flight.empty() && CanRetry(s) && !IsCautious() &&
+         !s.in_flight.empty() && CanRetry(s) &&
          (!s.hedged || NeedsAllRemainingShards(now));
 }
 
+bool request_run::CanHedge(time_point now, const shard& s) const {
+  return MayHedge(now, s) && !IsCautious();
+}
+
 time_point request_run::HedgeTime(const shard& s, duration delay) {
   return s.next_hedge_at.value_or(s.in_flight.front().sent + delay);
 }
@@ -60,6 +64,11 @@
 void request_run::HedgeLateShards(time_point now,
                                   shared_request_state& shared,
                                   actions& out) {
+  CountLateAttempts(now, shared);
+  if (IsCautious()) {
+    HedgeCautiously(now, shared, out);
+    return;
+  }
   const duration delay = HedgeDelay(shared);
   for (std::size_t index = 0; index < shards_.size(); ++index) {
     const shard& s = shards_[index];
--- a/src/libtrefoilmill/request/request_run_start.cc
+++ b/src/libtrefoilmill/request/request_run_start.cc
@@ -148,7 +148,7 @@
                                           shared_request_state& shared) {
   actions out;
   suspect_ = Standing(now, shared) != request_standing::kClear;
-  for (std::size_t index = 0; index < shards_.size(); ++index) {
+  for (const std::size_t index : CautiousOrder(now, shared)) {
     if (suspect_ && (in_flight() || awaiting_capacity())) {
       shards_[index].held = true;
     } else {
--- a/src/trefoilmill_entry/connection_pools.cc
+++ b/src/trefoilmill_entry/connection_pools.cc
@@ -14,6 +14,8 @@
 /// An idle connection is closed this long before the endpoint would close it,
 /// so that no request is sent while the endpoint closes it.
 constexpr duration kIdleMargin = std::chrono::milliseconds(1500);
+/// Limit for the response to a probe.
+constexpr duration kProbeTimeout = std::chrono::milliseconds(500);
 /// Assumed until a reply of the endpoint states its idle timeout.
 constexpr duration kDefaultIdleTimeout = std::chrono::seconds(30);
 /// Idle timeout while this host is on standby.
@@ -50,6 +52,8 @@
   bool retired = false;
   /// How long the endpoint keeps an idle connection open.
   duration idle_timeout = kDefaultIdleTimeout;
+  /// Sent on the next connection that opens.
+  std::optional<http_request> probe;
   /// No connection is opened before this time.
   time_point reopen_at;
   duration reopen_delay{};
@@ -118,19 +122,27 @@
   }
 }
 
-bool connection_pools::CheckEndpoint(const endpoint_id& id) {
+bool connection_pools::CheckEndpoint(const endpoint_id& id,
+                                     std::optional<http_request> probe) {
   const auto found = pools_.find(id);
   if (found == pools_.end()) {
     return false;
   }
   pool& p = *found->second;
-  if (p.IsConnecting()) {
+  const auto idle = p.FindIdle();
+  if (idle != p.connections.end() && probe.has_value()) {
+    p.probe = std::move(probe);
+    SendProbe(p, **idle);
     return true;
   }
-  if (static_cast<int>(p.connections.size()) >= p.connection_limit) {
+  if (!p.IsConnecting() &&
+      static_cast<int>(p.connections.size()) >= p.connection_limit) {
     return false;
   }
-  Open(p);
+  p.probe = std::move(probe);
+  if (!p.IsConnecting()) {
+    Open(p);
+  }
   return true;
 }
 
@@ -188,7 +200,8 @@
   }
   c.idle_since = loop_.Now();
   c.http->OnClosed([this, &p, &c] { OnClosedByPeer(p, c); });
-  placement_.OnConnected(loop_.Now(), p.id);
+  placement_.OnConnected(p.id);
+  SendProbe(p, c);
   ReportIdleCount(p);
   on_idle_(p.id);
 }
@@ -198,6 +211,7 @@
     p.reopen_delay =
         std::clamp(p.reopen_delay * 2, kMinReopenDelay, kMaxReopenDelay);
     p.reopen_at = loop_.Now() + p.reopen_delay;
+    placement_.crashes().OnClosedUnused(loop_.Now(), p.id);
   }
   Close(p, c);
 }
@@ -258,6 +272,36 @@
   on_idle_(id);
 }
 
+void connection_pools::SendProbe(pool& p, connection& c) {
+  if (!p.probe.has_value()) {
+    return;
+  }
+  c.busy = true;
+  c.attempt = {};
+  c.done = [this, id = p.id](const http_result& exchange) {
+    endpoint_reach& reach = placement_.reach();
+    if (!exchange.response.has_value()) {
+      if (exchange.failure_reason == http_failure::kConnectionLost) {
+        reach.OnLost(loop_.Now(), id);
+      } else {
+        reach.OnLate(loop_.Now(), id);
+      }
+      return;
+    }
+    reach.OnResponse(loop_.Now(), id);
+    endpoint_crashes& crashes = placement_.crashes();
+    if (platform::IsFromAnotherInstance(*exchange.response, id)) {
+      crashes.OnInstanceGone(loop_.Now(), id);
+    } else {
+      crashes.OnAlive(loop_.Now(), id);
+    }
+  };
+  c.http->Send(*std::exchange(p.probe, std::nullopt), kProbeTimeout,
+               [this, &p, &c](http_result exchange) {
+                 OnReply(p, c, std::move(exchange));
+               });
+}
+
 void connection_pools::Abort(attempt_id attempt) {
   const auto found = connections_by_attempt_.find(attempt);
   if (found == connections_by_attempt_.end()) {
--- a/src/trefoilmill_entry/connection_pools.h
+++ b/src/trefoilmill_entry/connection_pools.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,9 +48,11 @@
   /// Opens a connection for a waiting request, unless one is idle or being
   /// opened, the limit is reached or the endpoint just closed one unused.
   void RequestConnection(const endpoint_id& id);
-  /// Opens a connection to find out whether the endpoint accepts one, although
-  /// it may have closed others unused. Returns false if the limit is reached.
-  bool CheckEndpoint(const endpoint_id& id);
+  /// Finds out whether the endpoint is up, and tells the endpoint_crashes:
+  /// sends `probe`, if it is set, on an idle connection or a new one, which is
+  /// opened although the endpoint may have closed others unused. Returns false
+  /// if the limit of connections is reached.
+  bool CheckEndpoint(const endpoint_id& id, std::optional<http_request> probe);
   /// The endpoint is leaving: closes its idle connections, and keeps none open
   /// from now on. RequestConnection() still opens one.
   void Retire(const endpoint_id& id);
@@ -82,6 +85,8 @@
   void OnConnected(pool& p, connection& c, bool connected);
   void OnReply(pool& p, connection& c, http_result exchange);
   void OnClosedByPeer(pool& p, const connection& c);
+  /// Sends the pool's probe, if it has one, on an idle connection.
+  void SendProbe(pool& p, connection& c);
   /// Closes the connection and removes it from the pool.
   void Close(pool& p, const connection& c);
   /// Closes those idle connections for which `closes` returns true.
--- a/src/trefoilmill_entry/crash_checker.h
+++ b/src/trefoilmill_entry/crash_checker.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <random>
+#include <string>
 
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/process/shared_request_state.h"
@@ -17,22 +18,28 @@
 /// only.
 class crash_checker {
  public:
-  /// `on_recorded` is called after requests were found to have been in flight
-  /// at an endpoint that has ended.
+  /// `health_path_of` returns the path at which endpoints of a service answer
+  /// whether they are up, or an empty one. `on_recorded` is called after
+  /// requests were found to have been in flight at an endpoint that has ended.
   crash_checker(event_loop& loop,
                 shared_request_state& shared_state,
                 connection_pools& pools,
                 telemetry& process_telemetry,
+                std::function<std::string(const service_id&)> health_path_of,
                 std::function<void()> on_recorded,
                 std::mt19937_64 random);
 
   /// A reply was lost: checks the endpoint until it is known whether it has
-  /// ended, for about a second at most.
+  /// ended, for some seconds at most.
   void OnReplyLost();
 
  private:
   void Check();
-  /// Opens a connection to an endpoint, to see whether any is reached.
+  /// Returns whether the endpoint could be asked.
+  bool CheckEndpoint(const endpoint_id& id);
+  /// Notices whose instance the registry knows to be gone.
+  void FindGoneInstances();
+  /// Asks an endpoint that has lost no reply, to see whether any is reached.
   void CheckAnyEndpoint();
   void Record(const crash_suspect& suspect);
 
@@ -40,6 +47,7 @@
   shared_request_state& shared_state_;
   connection_pools& pools_;
   telemetry& telemetry_;
+  std::function<std::string(const service_id&)> health_path_of_;
   std::function<void()> on_recorded_;
   std::mt19937_64 random_;
   bool checking_ = false;
--- a/src/trefoilmill_entry/crash_checker_test.cc
+++ b/src/trefoilmill_entry/crash_checker_test.cc
@@ -38,6 +38,7 @@
                         shared,
                         pools,
                         process_telemetry,
+                        [](const service_id&) { return "/health"; },
                         [this] { ++recorded; },
                         std::mt19937_64(3)};
   const request_identity request = {
@@ -84,6 +85,53 @@
   BOOST_TEST(shared.quarantine.HasStrikes(request));
 }
 
+// The port stays open while the endpoint is down.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_resets_all_connections_has_ended,
+                        fixture) {
+  const raw_server down(*loop, "", raw_server_action::kReset);
+  const raw_server server(*loop, kReply, raw_server_action::kKeepOpen);
+  Add("ended", down.port(), 1);
+  Add("other", server.port(), 1);
+  LoseReplyOf("ended");
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return recorded > 0; }));
+  BOOST_TEST(shared.quarantine.HasStrikes(request));
+}
+
+// A link that is reset accepts connections, too.
+BOOST_FIXTURE_TEST_CASE(nobody_is_blamed_while_all_connections_are_reset,
+                        fixture) {
+  const raw_server down(*loop, "", raw_server_action::kReset);
+  Add("ended", down.port(), 1);
+  Add("other", down.port(), 1);
+  LoseReplyOf("ended");
+  RunFor(*loop, milliseconds(500));
+  BOOST_TEST(recorded == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_silent_endpoint_has_ended_once_it_is_replaced,
+                        fixture) {
+  const raw_server silent(*loop, "", raw_server_action::kKeepOpen);
+  Add("ended", silent.port(), 1);
+  shared.selector.crashes().OnReplyLost(
+      {.endpoint = endpoint_id("ended"),
+       .started_ms = 0,
+       .request = request,
+       .abandoned = true,
+       .lost_at = loop->Now(),
+       .sent_to_live_at = loop->Now() - seconds(2)});
+  checker.OnReplyLost();
+  RunFor(*loop, milliseconds(300));
+  BOOST_TEST(recorded == 0);
+  shared.registry.Put(loop->Now(), {.id = endpoint_id("next"),
+                                    .service = service_id("s"),
+                                    .zone = zone_id("z"),
+                                    .address = {kTestIp, silent.port()},
+                                    .slots = 2,
+                                    .started_ms = 5});
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return recorded > 0; }));
+  BOOST_TEST(shared.quarantine.HasStrikes(request));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_connection_that_broke_is_no_end, fixture) {
   const raw_server server(*loop, kReply, raw_server_action::kKeepOpen);
   Add("alive", server.port(), 1);
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -115,6 +115,11 @@
                                                     std::mt19937_64(random()));
   process->crash_checker_ = std::make_unique<crash_checker>(
       loop, process->shared_state_, *process->pools_, process->telemetry_,
+      [self](const service_id& service) {
+        return self->route_table_ == nullptr
+                   ? std::string()
+                   : self->route_table_->SettingsOf(service).health_path;
+      },
       [self] { self->peers_->ShareQuarantineNews(); },
       std::mt19937_64(random()));
   process->requests_->OnReplyLost([self] {
--- a/src/trefoilmill_entry/reach_prober.cc
+++ b/src/trefoilmill_entry/reach_prober.cc
@@ -68,7 +68,7 @@
                                const endpoint_id& id,
                                const std::string& health_path) {
   shared_state_.selector.reach().OnConnected(id);
-  shared_state_.selector.crashes().OnAlive(loop_.Now(), id);
+  shared_state_.selector.crashes().OnConnected(id);
   shared_state_.selector.OnProbe(loop_.Now(), id);
   probes_.at(number)->Send(
       {.method = "GET", .path = health_path}, kResponseTimeout,
@@ -76,6 +76,7 @@
         endpoint_reach& reach = shared_state_.selector.reach();
         if (exchange.response.has_value()) {
           reach.OnResponse(loop_.Now(), id);
+          shared_state_.selector.crashes().OnAlive(loop_.Now(), id);
         } else {
           reach.OnLate(loop_.Now(), id);
         }
--- a/src/trefoilmill_entry/request_handler_notice.cc
+++ b/src/trefoilmill_entry/request_handler_notice.cc
@@ -11,7 +11,12 @@
   const time_point now = loop_.Now();
   if (exchange.response.has_value()) {
     reach.OnResponse(now, endpoint);
-    shared_state_.selector.crashes().OnAlive(now, endpoint);
+    endpoint_crashes& crashes = shared_state_.selector.crashes();
+    if (platform::IsFromAnotherInstance(*exchange.response, endpoint)) {
+      crashes.OnInstanceGone(now, endpoint);
+    } else {
+      crashes.OnAlive(now, endpoint);
+    }
     return;
   }
   switch (*exchange.failure_reason) {
