Deleted objects stay deleted, and entries that turn odd are read alike

Cause: store_follower took in what an older watch answer showed of an object that a peer's later changes had deleted, and watched on from the later revision. An endpoint's entry that turned malformed kept the endpoint where it came as an event and withdrew it where it came in a list.

Ruled out: a list that is older than the content, as OnPage compares revisions; peers' changes, which are ignored unless they are later (they pass the same check now).

Change: an object written at or before the revision that the content reflects is not taken in. The last readable entry of an endpoint goes on, however the odd one arrives.

--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -153,17 +153,24 @@
   const bool has_changes = !changes.events.empty();
   ApplyEvents(std::move(changes.events), out);
   as_of_ = std::max(as_of_, changes.as_of);
-  if (has_changes) {
+  if (!out.empty()) {
     changed_at_ = as_of_;
+  }
+  if (has_changes) {
     out.push_back(StartDelay(now, config_.change_delay));
     return out;
   }
   return StartNextCall();
 }
 
+// The content reflects all changes up to as_of_: an object written before that
+// and not there any more was deleted since.
 void store_follower::ApplyEvents(std::vector<object_event> events,
                                  actions& out) {
   for (object_event& event : events) {
+    if (!event.deleted && event.object.at <= as_of_) {
+      continue;
+    }
     const auto existing = objects_.find(event.object.name);
     if (existing != objects_.end() && existing->second.at > event.object.at) {
       continue;
--- a/src/libtrefoilmill/version/store_follower_test.cc
+++ b/src/libtrefoilmill/version/store_follower_test.cc
@@ -91,6 +91,28 @@
   BOOST_TEST(!follower.objects().contains("b"));
 }
 
+// A peer feeds a deletion while the answer to a watch is on its way that shows
+// the object as it was before: the object came back for good.
+BOOST_FIXTURE_TEST_CASE(an_older_watch_answer_brings_nothing_deleted_back,
+                        fixture) {
+  follower.Start();
+  Resume(List({Object("a", 3)}, 5));
+  follower.OnPeerChanges(
+      revision(5), {.events = {{.object = Object("b", 8)},
+                               {.object = Object("a", 3), .deleted = true},
+                               {.object = Object("b", 8), .deleted = true}},
+                    .as_of = revision(12)});
+  BOOST_TEST_REQUIRE(follower.objects().empty());
+  const auto actions = follower.OnWatch(
+      now, object_changes{.events = {{.object = Object("a", 7)},
+                                     {.object = Object("b", 8)}},
+                          .as_of = revision(8)});
+  BOOST_TEST(follower.objects().empty());
+  BOOST_TEST(Find<store_follower::object_changed>(actions) == nullptr);
+  BOOST_TEST(follower.as_of().value() == 12U);
+  BOOST_TEST(follower.changed_at().value() == 12U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_list_follows_the_loss_of_history, fixture) {
   follower.Start();
   Resume(List({Object("a", 3)}, 5));
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -137,6 +137,7 @@
     revision at;
     endpoint_record record;
   };
+  /// The last readable entries, by name.
   std::map<std::string, decoded_endpoint> decoded_endpoints_;
   /// The store's list of hosts is known.
   bool hosts_listed_ = false;
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -178,6 +178,11 @@
                               {.endpoint = endpoint_id(object.name),
                                .at = object.at,
                                .detail = record.error().detail});
+      // As when it comes as an event, the last readable one goes on.
+      const auto readable = decoded_endpoints_.find(object.name);
+      if (readable != decoded_endpoints_.end()) {
+        records.push_back(readable->second.record);
+      }
     }
   }
   ApplyEndpointChanges(shared_state_.registry.ReplaceAll(loop_.Now(), records));
