Suspicion of silent requests costs less

Ruled out by trials with one part left out: the wakes for late attempts and the time of each endpoint's last response. The news of suspects, which all hosts pass on, made most of it.

Change: a request is suspect after eight expected latencies and 0.2 s, and only after two unanswered attempts where two are possible. Whether an endpoint was up when it got a request is decided when the reply is lost rather than at each send.

--- a/src/include/trefoilmill/process/endpoint_crashes.h
+++ b/src/include/trefoilmill/process/endpoint_crashes.h
@@ -134,8 +134,9 @@
   std::size_t size() const;
 
   std::map<endpoint_id, endpoint_losses> losses_;
-  /// When each endpoint responded last.
+  /// When each endpoint responded last, and when any did.
   std::unordered_map<endpoint_id, time_point> last_alive_;
+  time_point latest_alive_at_;
   /// The latest sign of life, and the latest of another endpoint.
   sign_of_life latest_alive_;
   sign_of_life other_alive_;
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -193,8 +193,12 @@
   /// unhealthy. Reports received from other hosts are not included.
   std::vector<endpoint_health_report> UnhealthyEndpoints(time_point now) const;
 
-  /// A sub-request was assigned to the endpoint and is now in flight.
-  void OnSend(time_point now, const endpoint_id& id, attempt_id attempt);
+  /// A sub-request was assigned to the endpoint and is now in flight. Returns
+  /// when the oldest one that the endpoint has was sent.
+  time_point OnSend(time_point now, const endpoint_id& id, attempt_id attempt);
+  /// Whether an endpoint that had a request since `oldest` was late with it at
+  /// `now`.
+  static bool IsLate(time_point now, time_point oldest, duration expected);
   /// Takes back OnSend(): the send was planned but not carried out.
   void CancelSend(const endpoint_id& id, attempt_id attempt);
   /// Whether the endpoint is known to be up: it has responded a moment ago, and
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -172,8 +172,8 @@
     time_point sent;
     /// It was sent alone, as the request may end endpoints.
     bool cautious = false;
-    /// The endpoint was known to be up when it was sent.
-    bool to_live_endpoint = false;
+    /// When the oldest request that the endpoint had then was sent to it.
+    time_point oldest_at_endpoint;
     /// It counts as unanswered: it is late, or its connection broke.
     bool unanswered = false;
   };
@@ -312,8 +312,8 @@
       const shared_request_state& shared) const;
   /// Counts an attempt that is late or whose connection broke.
   void CountUnanswered(attempt& a);
-  /// Counts the attempts that are late by now.
-  void CountLateAttempts(time_point now, const shared_request_state& shared);
+  /// Counts the attempts that were sent `delay` ago or earlier.
+  void CountLateAttempts(time_point now, duration delay);
   /// If every attempt in flight is late, sends the request to one more
   /// endpoint, a limited number of times.
   void HedgeCautiously(time_point now,
--- a/src/libtrefoilmill/process/endpoint_crashes.cc
+++ b/src/libtrefoilmill/process/endpoint_crashes.cc
@@ -47,6 +47,10 @@
 
 void endpoint_crashes::OnAlive(time_point now, const endpoint_id& id) {
   last_alive_[id] = now;
+  latest_alive_at_ = now;
+  if (losses_.empty()) {
+    return;
+  }
   if (latest_alive_.endpoint != id) {
     other_alive_ = std::exchange(latest_alive_, {});
   }
@@ -129,7 +133,7 @@
 }
 
 bool endpoint_crashes::AnyAliveAfter(time_point since) const {
-  return latest_alive_.endpoint != endpoint_id() && latest_alive_.at > since;
+  return latest_alive_at_ > since;
 }
 
 void endpoint_crashes::Exonerate(const request_identity& request) {
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -153,8 +153,7 @@
     return false;
   }
   const auto& in_flight = found->second.in_flight;
-  return in_flight.empty() || RelativeLatency(now - in_flight.begin()->second,
-                                              expected) <= kPauseRatio;
+  return in_flight.empty() || !IsLate(now, in_flight.begin()->second, expected);
 }
 
 std::optional<duration> endpoint_selector::PredictLatency(
@@ -279,11 +278,19 @@
   return candidates[distribution(rng_)].id;
 }
 
-void endpoint_selector::OnSend(time_point now,
-                               const endpoint_id& id,
-                               attempt_id attempt) {
-  stats_[id].in_flight.emplace(attempt, now);
+time_point endpoint_selector::OnSend(time_point now,
+                                     const endpoint_id& id,
+                                     attempt_id attempt) {
+  auto& in_flight = stats_[id].in_flight;
+  in_flight.emplace(attempt, now);
   limits_.OnSend(now, id);
+  return in_flight.begin()->second;
+}
+
+bool endpoint_selector::IsLate(time_point now,
+                               time_point oldest,
+                               duration expected) {
+  return RelativeLatency(now - oldest, expected) > kPauseRatio;
 }
 
 void endpoint_selector::CancelSend(const endpoint_id& id, attempt_id attempt) {
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -278,16 +278,15 @@
   shard& s = shards_[index];
   const attempt_id id(++shared.last_attempt_id);
   s.tried_endpoints.push_back(endpoint);
-  s.in_flight.push_back({.id = id,
-                         .endpoint = endpoint,
-                         .sent = now,
-                         .cautious = IsCautious(),
-                         .to_live_endpoint = shared.selector.IsKnownToBeUp(
-                             now, endpoint, ExpectedLatency(shared, *route_))});
+  s.in_flight.push_back(
+      {.id = id,
+       .endpoint = endpoint,
+       .sent = now,
+       .cautious = IsCautious(),
+       .oldest_at_endpoint = shared.selector.OnSend(now, endpoint, id)});
   s.awaiting_capacity = false;
   s.obstacle = resend_obstacle::kNone;
   ++counts_.sends;
-  shared.selector.OnSend(now, endpoint, id);
   out.emplace_back(send{.attempt = id,
                         .shard = index,
                         .endpoint = endpoint,
@@ -331,10 +330,10 @@
   }
   if (send_result == send_outcome::kSucceeded) {
     s.reply = std::move(std::get<endpoint_replied>(outcome));
+    const bool was_cautious = IsCautious();
     ++counts_.answered;
     ReleaseHeld(now, shared, out);
-    if (counts_.answered == 1) {
-      // They may have been held back for want of any reply.
+    if (was_cautious) {
       HedgeLateShards(now, shared, out);
     }
     FinishIfDue(now, out);
--- a/src/libtrefoilmill/request/request_run_caution.cc
+++ b/src/libtrefoilmill/request/request_run_caution.cc
@@ -18,9 +18,10 @@
 /// together.
 constexpr std::size_t kUnansweredToStop = 2;
 /// A request without any reply is suspect after so many expected latencies, and
-/// after this time at least: pauses of endpoints are mostly shorter.
-constexpr int kSuspicionLatencies = 4;
-constexpr duration kMinSuspicionDelay = std::chrono::milliseconds(100);
+/// after this time at least. All hosts hear of each, and sooner most of them
+/// would only be slow.
+constexpr int kSuspicionLatencies = 8;
+constexpr duration kMinSuspicionDelay = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -79,9 +80,10 @@
   unanswered_cautious_attempts_ += a.cautious ? 1 : 0;
 }
 
-void request_run::CountLateAttempts(time_point now,
-                                    const shared_request_state& shared) {
-  const duration delay = HedgeDelay(shared);
+void request_run::CountLateAttempts(time_point now, duration delay) {
+  if (counts_.answered > 0) {
+    return;
+  }
   for (shard& s : shards_) {
     for (attempt& a : s.in_flight) {
       if (now - a.sent >= delay) {
@@ -117,7 +119,11 @@
 
 std::optional<time_point> request_run::SuspicionTime(
     const shared_request_state& shared) const {
-  const std::size_t needed = std::min(shards_.size(), kUnansweredToCaution);
+  // A single late reply says little where a second endpoint may be tried.
+  const bool has_second_attempt =
+      shards_.size() >= kUnansweredToCaution ||
+      (route_->retry == retry_rule::kIdempotent && route_->max_endpoints > 1);
+  const std::size_t needed = has_second_attempt ? kUnansweredToCaution : 1;
   const bool is_next_refusal = warned_ == warning::kSuspect;
   if (counts_.answered > 0 || !identity_.has_value() ||
       warned_ == warning::kRefuse || unanswered_attempts_ < needed ||
@@ -183,7 +189,11 @@
       .request = *identity_,
       .abandoned = !broken,
       .lost_at = now};
-  if (lost.to_live_endpoint && lost.unanswered) {
+  const bool was_up =
+      shared.selector.crashes().IsFresh(lost.sent, lost.endpoint) &&
+      !endpoint_selector::IsLate(lost.sent, lost.oldest_at_endpoint,
+                                 ExpectedLatency(shared, *route_));
+  if (was_up && lost.unanswered) {
     suspect.sent_to_live_at = lost.sent;
   }
   shared.selector.crashes().OnReplyLost(suspect);
--- a/src/libtrefoilmill/request/request_run_hedge.cc
+++ b/src/libtrefoilmill/request/request_run_hedge.cc
@@ -64,12 +64,12 @@
 void request_run::HedgeLateShards(time_point now,
                                   shared_request_state& shared,
                                   actions& out) {
-  CountLateAttempts(now, shared);
+  const duration delay = HedgeDelay(shared);
+  CountLateAttempts(now, delay);
   if (IsCautious()) {
     HedgeCautiously(now, shared, out);
     return;
   }
-  const duration delay = HedgeDelay(shared);
   for (std::size_t index = 0; index < shards_.size(); ++index) {
     const shard& s = shards_[index];
     if (CanHedge(now, s) && HedgeTime(s, delay) <= now) {
