--- a/src/include/trefoilmill/process/endpoint_crashes.h
+++ b/src/include/trefoilmill/process/endpoint_crashes.h
@@ -51,7 +51,7 @@
   time_point lost_at;
   /// When the request was sent, if its reply was late or its connection broke,
   /// and if the endpoint had responded shortly before; unset otherwise.
-  std::optional<time_point> sent_to_live_at{};
+  std::optional<time_point> sent_to_live_at;
   /// Set by endpoint_crashes.
   end_evidence evidence = end_evidence::kNone;
 };
--- a/src/libtrefoilmill/process/endpoint_crashes.cc
+++ b/src/libtrefoilmill/process/endpoint_crashes.cc
@@ -176,9 +176,11 @@
 std::vector<std::pair<endpoint_id, std::uint64_t>>
 endpoint_crashes::SuspectedInstances() const {
   std::vector<std::pair<endpoint_id, std::uint64_t>> instances;
-  for (const auto& [id, at_endpoint] : losses_) {
-    instances.emplace_back(id, at_endpoint.suspects.front().started_ms);
-  }
+  std::ranges::transform(
+      losses_, std::back_inserter(instances), [](const auto& entry) {
+        const auto& [id, at_endpoint] = entry;
+        return std::pair(id, at_endpoint.suspects.front().started_ms);
+      });
   return instances;
 }
 
