--- a/src/include/trefoilmill/process/endpoint_crashes.h
+++ b/src/include/trefoilmill/process/endpoint_crashes.h
@@ -20,7 +20,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -72,17 +71,9 @@
   void OnClosedUnused(time_point now, const endpoint_id& id);
   /// The endpoint's instance is known to be gone.
   void OnInstanceGone(time_point now, const endpoint_id& id);
-  /// The endpoint is no longer registered.
-  void Forget(const endpoint_id& id) { last_alive_.erase(id); }
   /// The request was answered by an endpoint, and is no suspect.
   void Exonerate(const request_identity& request);
 
-  /// Whether the endpoint has responded so recently that it was probably up at
-  /// `now`.
-  bool IsFresh(time_point now, const endpoint_id& id) const;
-  /// Whether any endpoint has responded after `since`.
-  bool AnyAliveAfter(time_point since) const;
-
   /// The suspects of endpoints that are now known to have ended; each is
   /// returned once. Those whose endpoint was silent first are dated back to
   /// when they were sent, so that ends at the same moment stay one event.
@@ -103,18 +94,24 @@
   bool empty() const { return losses_.empty(); }
 
  private:
-  /// The losses at one endpoint.
-  struct endpoint_losses {
-    std::vector<crash_suspect> suspects;
-    std::optional<time_point> refused_at;
-    /// It accepted connections and closed them, rather than to refuse them, and
-    /// did so again after another endpoint was alive.
+  /// Refusals of connections since the endpoint was last heard of.
+  struct refusal {
+    time_point first;
+    /// It accepted the connections and closed them.
     bool closes = false;
+    /// It did so again after another endpoint was alive.
     bool has_closed_again = false;
+    /// TakeUnchecked() has returned it for that.
     bool checked_again = false;
+  };
+  /// The losses at one endpoint.
+  struct endpoint_losses {
+    std::vector<crash_suspect> suspects;
+    std::optional<refusal> refused;
     /// A connection was accepted after the loss: a later refusal says nothing
     /// of what was lost before.
     bool accepted = false;
+    /// Its instance is gone.
     bool is_gone = false;
     /// TakeUnchecked() or TakeNeedForSignOfLife() has returned it.
     bool checked = false;
@@ -134,9 +131,6 @@
   std::size_t size() const;
 
   std::map<endpoint_id, endpoint_losses> losses_;
-  /// When each endpoint responded last, and when any did.
-  std::unordered_map<endpoint_id, time_point> last_alive_;
-  time_point latest_alive_at_;
   /// The latest sign of life, and the latest of another endpoint.
   sign_of_life latest_alive_;
   sign_of_life other_alive_;
--- a/src/include/trefoilmill/process/endpoint_selector.h
+++ b/src/include/trefoilmill/process/endpoint_selector.h
@@ -59,6 +59,8 @@
   /// The endpoint to send to.
   struct selected {
     endpoint_id endpoint;
+    /// Start time of its instance, see endpoint_record.
+    std::uint64_t started_ms = 0;
   };
   /// There are usable endpoints, but none with an idle connection or, for a
   /// hedge, none of sufficiently low cost and without a request limit.
@@ -105,7 +107,6 @@
     stats_.erase(id);
     limits_.Forget(id);
     reach_.Forget(id);
-    crashes_.Forget(id);
   }
   /// The request limits that endpoints state.
   request_limits& limits() { return limits_; }
@@ -201,11 +202,8 @@
   static bool IsLate(time_point now, time_point oldest, duration expected);
   /// Takes back OnSend(): the send was planned but not carried out.
   void CancelSend(const endpoint_id& id, attempt_id attempt);
-  /// Whether the endpoint is known to be up: it has responded a moment ago, and
-  /// no request that it has is late.
-  bool IsKnownToBeUp(time_point now,
-                     const endpoint_id& id,
-                     duration expected) const;
+  /// When the oldest one in flight was sent; nullopt if there is none.
+  std::optional<time_point> OldestInFlight(const endpoint_id& id) const;
   /// Number of sends to the endpoint that have not ended.
   std::size_t InFlight(const endpoint_id& id) const;
   /// A send ended, and is no longer in flight. Updates the endpoint's
@@ -261,6 +259,7 @@
   /// An endpoint that a sub-request may be sent to.
   struct candidate {
     endpoint_id id;
+    std::uint64_t started_ms = 0;
     /// Weight in the random selection.
     double weight = 0;
     /// Whether a reply is to be expected in time.
@@ -271,7 +270,7 @@
   static candidate_group GroupOf(time_point now,
                                  const endpoint_registry::entry& entry);
   /// Draws one of `candidates`, which must not be empty.
-  endpoint_id Draw(std::vector<candidate> candidates);
+  selected Draw(std::vector<candidate> candidates);
   /// Whether the endpoint may get a request now.
   bool IsUsable(time_point now, const endpoint_registry::entry& entry) const;
   /// The same, whatever request limit it states.
--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -11,6 +11,7 @@
 #include "trefoilmill/process/capacity_queue.h"
 #include "trefoilmill/process/deadline_admission.h"
 #include "trefoilmill/process/endpoint_registry.h"
+#include "trefoilmill/process/endpoint_responses.h"
 #include "trefoilmill/process/endpoint_selector.h"
 #include "trefoilmill/process/extra_send_budget.h"
 #include "trefoilmill/process/fair_shares.h"
@@ -39,6 +40,8 @@
   /// Set while the process stops: when every request has its answer at the
   /// latest.
   std::optional<time_point> answer_by;
+  /// When endpoints responded last.
+  endpoint_responses responses{};
   /// Requests under which endpoints have ended.
   request_quarantine quarantine{};
   /// Quotas of organisations.
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -19,30 +19,16 @@
 #include "trefoilmill/ids.h"
 #include "trefoilmill/process/shared_request_state.h"
 #include "trefoilmill/request/earlier_attempts.h"
+#include "trefoilmill/request/request_caution.h"
 #include "trefoilmill/request/request_identity.h"
 #include "trefoilmill/request/request_outcome.h"
+#include "trefoilmill/request/request_shard.h"
 #include "trefoilmill/time.h"
 #include "trefoilmill/verdict.h"
 #include "trefoilmill/version/route_table.h"
 
 namespace trefoilmill {
 
-/// Why a sub-request that was late or had failed was not sent again.
-enum class resend_obstacle {
-  kNone,          ///< It was, or there was no need yet.
-  kBudget,        ///< The budget for extra sends was exhausted.
-  kNoConnection,  ///< No suitable endpoint had a free connection.
-  kNoReplica,     ///< No other endpoint was usable.
-  kRequestLimit,  ///< Other endpoints stated request limits, which are used up.
-  kAttemptLimit,  ///< As many endpoints were tried as the route allows.
-  kEndpointsEnded,  ///< Endpoints seem to end under the request.
-  kOverShare,       ///< Its organisation asks for more than its share.
-};
-
-/// Returns "none", "budget", "no_connection", "no_replica", "request_limit",
-/// "attempt_limit", "endpoints_ended" or "over_share".
-std::string_view ToString(resend_obstacle obstacle);
-
 /// A shard that an answer lacks or had to wait for.
 struct shard_trouble {
   service_id service;
@@ -106,6 +92,8 @@
     std::size_t retries = 0;
     /// Hedges and retries that the extra-send budget did not allow.
     std::size_t budget_refusals = 0;
+    /// What other hosts were told of it, as it got no reply.
+    silence_warning warned = silence_warning::kNone;
     /// Why an attempt or a shard last failed.
     reason_code last_failure = reason_code::kNone;
   };
@@ -166,43 +154,8 @@
   bool in_flight() const;
 
  private:
-  struct attempt {
-    attempt_id id;
-    endpoint_id endpoint;
-    time_point sent;
-    /// It was sent alone, as the request may end endpoints.
-    bool cautious = false;
-    /// When the oldest request that the endpoint had then was sent to it.
-    time_point oldest_at_endpoint;
-    /// It counts as unanswered: it is late, or its connection broke.
-    bool unanswered = false;
-  };
-  struct shard {
-    service_id service;
-    /// Endpoints that this host sent it to.
-    std::vector<endpoint_id> tried_endpoints;
-    /// Endpoints that other hosts sent it to.
-    std::vector<endpoint_id> tried_elsewhere;
-    std::vector<attempt> in_flight;
-    std::optional<endpoint_replied> reply;
-    bool awaiting_capacity = false;
-    bool failed = false;
-    bool hedged = false;
-    /// It is sent, or sent again, once another shard has replied.
-    bool held = false;
-    /// When callers may return to a failed shard without usable endpoints, if
-    /// known.
-    std::optional<time_point> callers_return_at;
-    /// When a next hedge may be sent, once a first one was due. A hedge is not
-    /// sent if it finds no endpoint or no budget.
-    std::optional<time_point> next_hedge_at;
-    /// Why it was not sent again when that was due last.
-    resend_obstacle obstacle = resend_obstacle::kNone;
-    /// The greatest verdict of its failed attempts.
-    verdict worst_verdict = verdict::kNotRun;
-
-    bool pending() const { return !reply.has_value() && !failed; }
-  };
+  using attempt = request_attempt;
+  using shard = request_shard;
 
   /// What the request has to expect if it is sent now, with `time_left` until
   /// its objective.
@@ -240,15 +193,12 @@
       duration expected,
       duration time_left,
       endpoint_selector::purpose purpose) const;
-  /// The same among endpoints other than `never`.
-  endpoint_selector::selection SelectOther(
+  /// `excluded`, and the endpoints of a service that are not known to be up.
+  std::vector<endpoint_id> WithEndpointsNotKnownUp(
       time_point now,
-      shared_request_state& shared,
-      const shard& s,
-      const std::vector<endpoint_id>& never,
-      duration expected,
-      duration time_left,
-      endpoint_selector::purpose purpose) const;
+      const shared_request_state& shared,
+      const service_id& service,
+      std::vector<endpoint_id> excluded) const;
   /// The endpoints of the shard's service that may not get the request.
   std::vector<endpoint_id> ExcludedEndpoints(const endpoint_registry& registry,
                                              const shard& s) const;
@@ -280,7 +230,7 @@
   void SendTo(time_point now,
               shared_request_state& shared,
               std::size_t index,
-              const endpoint_id& endpoint,
+              const endpoint_selector::selected& selected,
               actions& out);
   /// Retries a shard that has no attempt in flight, or fails it, or holds it
   /// back.
@@ -318,17 +268,19 @@
   /// endpoint, a limited number of times.
   void HedgeCautiously(time_point now,
                        shared_request_state& shared,
+                       duration delay,
                        actions& out);
-  /// Number of attempts, sent one at a time and without a reply, after which it
-  /// goes to no other endpoint.
-  std::size_t MaxUnansweredCautious(const shared_request_state& shared) const;
-  /// When hosts are next to be warned of this request for want of any reply;
-  /// nullopt if it is not to be expected.
-  std::optional<time_point> SuspicionTime(
+  /// Whether endpoints are known to have ended under requests like this one.
+  bool HasStrikes(const shared_request_state& shared) const;
+  /// What other hosts are told of it for want of any reply, and when.
+  struct due_warning {
+    silence_warning what = silence_warning::kNone;
+    time_point at;
+  };
+  std::optional<due_warning> NextWarning(
       const shared_request_state& shared) const;
-  /// Warns against requests like this one if no endpoint has replied for so
-  /// long that some may have ended.
-  void RecordSilence(time_point now, shared_request_state& shared);
+  /// Gives the warning that is due.
+  void WarnOfSilence(time_point now, shared_request_state& shared);
   /// Whether no further endpoint may get it.
   bool MustStop(time_point now, const shared_request_state& shared) const;
   /// An endpoint has replied, so that the request is harmless.
@@ -417,15 +369,7 @@
   std::optional<request_identity> identity_;
   organisation_id owner_;
   request_priority priority_;
-  /// Endpoints have ended under earlier requests like this one.
-  bool suspect_ = false;
-  /// Attempts whose reply is late or whose connection broke before it, and
-  /// those of them that were sent alone.
-  std::size_t unanswered_attempts_ = 0;
-  std::size_t unanswered_cautious_attempts_ = 0;
-  /// How far other hosts were warned of it for want of any reply.
-  enum class warning { kNone, kSuspect, kRefuse };
-  warning warned_ = warning::kNone;
+  request_caution caution_;
   std::vector<shard> shards_;
   /// Endpoints that other hosts sent the request to, of services that are not
   /// among the shards: another version of the configuration named them.
--- a/src/libtmnet/net_test_support.h
+++ b/src/libtmnet/net_test_support.h
@@ -76,13 +76,15 @@
 /// sequence of bytes and then keeps, closes or resets the connection.
 class raw_server {
  public:
-  /// Listens on kTestIp at any free port; throws std::runtime_error if that
-  /// fails. Sends `reply` after each read, nothing if it is empty.
+  /// Listens on kTestIp at `port`, or at any free one if that is 0; throws
+  /// std::runtime_error if that fails. Sends `reply` after each read, nothing
+  /// if it is empty.
   raw_server(event_loop& loop,
              std::string reply,
-             raw_server_action action_after_read)
+             raw_server_action action_after_read,
+             std::uint16_t port = 0)
       : reply_(std::move(reply)), action_after_read_(action_after_read) {
-    const sockaddr_in address = TestSockaddr(0);
+    const sockaddr_in address = TestSockaddr(port);
     listener_ = evconnlistener_new_bind(
         loop.base(), &raw_server::SetAcceptFilter, this,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
--- a/src/libtrefoilmill/process/endpoint_crashes.cc
+++ b/src/libtrefoilmill/process/endpoint_crashes.cc
@@ -15,9 +15,9 @@
 /// How long a lost reply may be due to an end that a change of the instance
 /// shows: an entry may lapse, and be replaced, some seconds after the end.
 constexpr duration kMaxAgeUntilGone = std::chrono::seconds(15);
-/// An endpoint that responded so long ago at most was probably up. Callers
-/// whose endpoints have all ended return later than this.
-constexpr duration kFreshTime = std::chrono::milliseconds(500);
+/// A reply that was lost so much later than its request was sent was silent
+/// before: the end may have been at any time in between.
+constexpr duration kSilentTime = std::chrono::milliseconds(500);
 /// What was on its way when a link broke may still arrive for so long.
 constexpr duration kSettleTime = std::chrono::milliseconds(10);
 /// A pool that reconnects by itself does so sooner than this.
@@ -46,8 +46,6 @@
 }
 
 void endpoint_crashes::OnAlive(time_point now, const endpoint_id& id) {
-  last_alive_[id] = now;
-  latest_alive_at_ = now;
   if (losses_.empty()) {
     return;
   }
@@ -59,8 +57,7 @@
   if (found == losses_.end()) {
     return;
   }
-  found->second.refused_at.reset();
-  found->second.closes = false;
+  found->second.refused.reset();
   // What was abandoned may still be running, and end it yet.
   std::erase_if(found->second.suspects,
                 [](const crash_suspect& s) { return !s.abandoned; });
@@ -78,17 +75,21 @@
     return;
   }
   found->second.accepted = true;
-  if (!found->second.closes) {
-    found->second.refused_at.reset();
+  if (found->second.refused.has_value() && !found->second.refused->closes) {
+    found->second.refused.reset();
   }
 }
 
 void endpoint_crashes::OnConnectRefused(time_point now, const endpoint_id& id) {
   DropExpired(now);
   const auto found = losses_.find(id);
-  if (found != losses_.end() && !found->second.refused_at.has_value() &&
-      !found->second.accepted) {
-    found->second.refused_at = now;
+  if (found == losses_.end() || found->second.accepted) {
+    return;
+  }
+  // Connections that were idle may have been closed just before.
+  std::optional<refusal>& refused = found->second.refused;
+  if (!refused.has_value() || refused->closes) {
+    refused = refusal{.first = now};
   }
 }
 
@@ -98,25 +99,22 @@
   if (found == losses_.end()) {
     return;
   }
-  endpoint_losses& at_endpoint = found->second;
-  if (!at_endpoint.refused_at.has_value()) {
-    at_endpoint.refused_at = now;
-    at_endpoint.closes = true;
-    at_endpoint.has_closed_again = false;
-    at_endpoint.checked_again = false;
-    return;
+  std::optional<refusal>& refused = found->second.refused;
+  if (!refused.has_value()) {
+    refused = refusal{.first = now, .closes = true};
+  } else if (OthersAliveAfter(id, refused->first + kSettleTime)) {
+    refused->has_closed_again = true;
   }
-  at_endpoint.has_closed_again =
-      at_endpoint.has_closed_again ||
-      OthersAliveAfter(id, *at_endpoint.refused_at + kSettleTime);
 }
 
 bool endpoint_crashes::HasRefused(const endpoint_id& id,
                                   const endpoint_losses& lost) const {
-  return lost.refused_at.has_value() &&
-         (lost.has_closed_again ||
-          (!lost.closes &&
-           OthersAliveAfter(id, *lost.refused_at + kSettleTime)));
+  const auto& refused = lost.refused;
+  if (!refused.has_value()) {
+    return false;
+  }
+  return refused->closes ? refused->has_closed_again
+                         : OthersAliveAfter(id, refused->first + kSettleTime);
 }
 
 void endpoint_crashes::OnInstanceGone(time_point now, const endpoint_id& id) {
@@ -127,15 +125,6 @@
   }
 }
 
-bool endpoint_crashes::IsFresh(time_point now, const endpoint_id& id) const {
-  const auto found = last_alive_.find(id);
-  return found != last_alive_.end() && now - found->second <= kFreshTime;
-}
-
-bool endpoint_crashes::AnyAliveAfter(time_point since) const {
-  return latest_alive_at_ > since;
-}
-
 void endpoint_crashes::Exonerate(const request_identity& request) {
   for (endpoint_losses& at_endpoint : losses_ | std::views::values) {
     std::erase_if(at_endpoint.suspects,
@@ -148,23 +137,25 @@
   DropExpired(now);
   std::vector<crash_suspect> confirmed;
   for (auto& [id, at_endpoint] : losses_) {
-    const auto& refused_at = at_endpoint.refused_at;
     const bool has_refused = HasRefused(id, at_endpoint);
+    if (!has_refused && !at_endpoint.is_gone) {
+      continue;
+    }
+    const end_evidence evidence = !has_refused ? end_evidence::kInstanceGone
+                                  : at_endpoint.refused->closes
+                                      ? end_evidence::kClosed
+                                      : end_evidence::kRefused;
     std::erase_if(at_endpoint.suspects, [&](crash_suspect& s) {
-      const bool broke_with_it =
-          has_refused && *refused_at - s.lost_at <= kMaxAge;
-      const bool was_silent =
-          s.sent_to_live_at.has_value() &&
-          (!broke_with_it || s.lost_at - *s.sent_to_live_at > kFreshTime);
-      const bool fell_silent_with_it =
-          s.sent_to_live_at.has_value() && (has_refused || at_endpoint.is_gone);
-      if (!broke_with_it && !fell_silent_with_it) {
+      const bool lost_shortly_before =
+          has_refused && at_endpoint.refused->first - s.lost_at <= kMaxAge;
+      const bool was_silent = s.sent_to_live_at.has_value() &&
+                              (!lost_shortly_before ||
+                               s.lost_at - *s.sent_to_live_at > kSilentTime);
+      if (!lost_shortly_before && !was_silent) {
         return has_refused;
       }
       s.lost_at = was_silent ? *s.sent_to_live_at : s.lost_at;
-      s.evidence = !has_refused         ? end_evidence::kInstanceGone
-                   : at_endpoint.closes ? end_evidence::kClosed
-                                        : end_evidence::kRefused;
+      s.evidence = evidence;
       confirmed.push_back(s);
       return true;
     });
@@ -191,14 +182,14 @@
         at_endpoint.suspects, [now](const crash_suspect& s) {
           return !s.abandoned && now - s.lost_at >= kCheckDelay;
         });
-    const auto& refused_at = at_endpoint.refused_at;
-    if (is_due && !at_endpoint.checked && !refused_at.has_value()) {
+    std::optional<refusal>& refused = at_endpoint.refused;
+    if (is_due && !at_endpoint.checked && !refused.has_value()) {
       at_endpoint.checked = true;
       unchecked.push_back(id);
-    } else if (refused_at.has_value() && at_endpoint.closes &&
-               !at_endpoint.checked_again &&
-               OthersAliveAfter(id, *refused_at + kSettleTime)) {
-      at_endpoint.checked_again = true;
+    } else if (refused.has_value() && refused->closes &&
+               !refused->checked_again &&
+               OthersAliveAfter(id, refused->first + kSettleTime)) {
+      refused->checked_again = true;
       unchecked.push_back(id);
     }
   }
@@ -208,8 +199,8 @@
 bool endpoint_crashes::TakeNeedForSignOfLife(time_point now) {
   bool needed = false;
   for (endpoint_losses& at_endpoint : losses_ | std::views::values) {
-    if (at_endpoint.refused_at.has_value() &&
-        now - *at_endpoint.refused_at >= kSignOfLifeDelay &&
+    if (at_endpoint.refused.has_value() &&
+        now - at_endpoint.refused->first >= kSignOfLifeDelay &&
         !at_endpoint.sign_of_life_requested) {
       at_endpoint.sign_of_life_requested = true;
       needed = true;
@@ -227,13 +218,12 @@
 
 void endpoint_crashes::DropExpired(time_point now) {
   for (endpoint_losses& at_endpoint : losses_ | std::views::values) {
-    std::optional<time_point>& refused_at = at_endpoint.refused_at;
-    if (refused_at.has_value() && now - *refused_at > kMaxAge) {
-      refused_at.reset();
-      at_endpoint.closes = false;
+    std::optional<refusal>& refused = at_endpoint.refused;
+    if (refused.has_value() && now - refused->first > kMaxAge) {
+      refused.reset();
     }
     std::erase_if(at_endpoint.suspects, [&](const crash_suspect& s) {
-      if (refused_at.has_value() && *refused_at - s.lost_at <= kMaxAge) {
+      if (refused.has_value() && refused->first - s.lost_at <= kMaxAge) {
         return false;
       }
       return now - s.lost_at >
@@ -251,7 +241,7 @@
 bool endpoint_crashes::IsUndecided(time_point now) const {
   return std::ranges::any_of(
       losses_ | std::views::values, [now](const endpoint_losses& at_endpoint) {
-        return at_endpoint.refused_at.has_value() ||
+        return at_endpoint.refused.has_value() ||
                now - at_endpoint.suspects.back().lost_at <= kMaxAge;
       });
 }
--- a/src/libtrefoilmill/process/endpoint_crashes_test.cc
+++ b/src/libtrefoilmill/process/endpoint_crashes_test.cc
@@ -141,6 +141,29 @@
   BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(22)).size() == 1U);
 }
 
+// An idle connection is reset as the endpoint ends, before new ones are refused.
+BOOST_AUTO_TEST_CASE(has_ended_if_it_closes_what_is_idle_and_refuses) {
+  Lose(1);
+  crashes.OnClosedUnused(kStart + milliseconds(1), ended_id);
+  Refuse(kStart + milliseconds(2));
+  crashes.OnAlive(kStart + milliseconds(20), other_id);
+  const auto confirmed = crashes.TakeConfirmed(kStart + milliseconds(20));
+  BOOST_TEST_REQUIRE(confirmed.size() == 1U);
+  BOOST_TEST((confirmed[0].evidence == end_evidence::kRefused));
+}
+
+// What a link that closed connections showed is forgotten with it: a later
+// refusal has to be confirmed as any other.
+BOOST_AUTO_TEST_CASE(is_judged_anew_after_an_earlier_link_failure) {
+  Lose(1, kStart, /*abandoned=*/true);
+  crashes.OnClosedUnused(kStart + milliseconds(3), ended_id);
+  crashes.OnAlive(kStart + milliseconds(100), other_id);
+  crashes.OnClosedUnused(kStart + milliseconds(200), ended_id);
+  crashes.OnAlive(kStart + milliseconds(210), ended_id);
+  Refuse(kStart + milliseconds(300));
+  BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(305)).empty());
+}
+
 // The links of the host are reset for a moment: once others respond, so does
 // it.
 BOOST_AUTO_TEST_CASE(is_not_blamed_for_a_link_that_is_whole_again) {
@@ -199,15 +222,6 @@
   BOOST_TEST(crashes.TakeConfirmed(kStart + seconds(30)).empty());
 }
 
-BOOST_AUTO_TEST_CASE(is_fresh_for_a_moment_after_a_response) {
-  BOOST_TEST(!crashes.IsFresh(kStart, ended_id));
-  crashes.OnAlive(kStart, ended_id);
-  BOOST_TEST(crashes.IsFresh(kStart + milliseconds(400), ended_id));
-  BOOST_TEST(!crashes.IsFresh(kStart + seconds(1), ended_id));
-  crashes.Forget(ended_id);
-  BOOST_TEST(!crashes.IsFresh(kStart + milliseconds(400), ended_id));
-}
-
 BOOST_AUTO_TEST_CASE(holds_a_limited_number_of_suspects) {
   for (std::uint64_t request = 0; request < 10'000; ++request) {
     Lose(request);
--- a/src/libtrefoilmill/process/endpoint_selector.cc
+++ b/src/libtrefoilmill/process/endpoint_selector.cc
@@ -145,15 +145,13 @@
   return waited_ratio > kPauseRatio ? std::max(ratio, waited_ratio) : ratio;
 }
 
-bool endpoint_selector::IsKnownToBeUp(time_point now,
-                                      const endpoint_id& id,
-                                      duration expected) const {
+std::optional<time_point> endpoint_selector::OldestInFlight(
+    const endpoint_id& id) const {
   const auto found = stats_.find(id);
-  if (found == stats_.end() || !crashes_.IsFresh(now, id)) {
-    return false;
+  if (found == stats_.end() || found->second.in_flight.empty()) {
+    return std::nullopt;
   }
-  const auto& in_flight = found->second.in_flight;
-  return in_flight.empty() || !IsLate(now, in_flight.begin()->second, expected);
+  return found->second.in_flight.begin()->second;
 }
 
 std::optional<duration> endpoint_selector::PredictLatency(
@@ -241,6 +239,7 @@
     own_zone_is_fine =
         own_zone_is_fine || (entry.record.zone == zone_ && cost <= kFineCost);
     candidates.push_back({.id = id,
+                          .started_ms = entry.record.started_ms,
                           .weight = std::pow(cost, -kCostExponent),
                           .timely = timely,
                           .group = GroupOf(now, entry)});
@@ -261,11 +260,12 @@
       }
     }
   }
-  return selected{Draw(std::move(candidates))};
+  return Draw(std::move(candidates));
 }
 
 // Only endpoints of the best group are drawn.
-endpoint_id endpoint_selector::Draw(std::vector<candidate> candidates) {
+endpoint_selector::selected endpoint_selector::Draw(
+    std::vector<candidate> candidates) {
   const auto best =
       std::ranges::min_element(candidates, {}, &candidate::group)->group;
   std::erase_if(candidates,
@@ -275,7 +275,8 @@
                          &candidate::weight);
   std::discrete_distribution<std::size_t> distribution(weights.begin(),
                                                        weights.end());
-  return candidates[distribution(rng_)].id;
+  const candidate& drawn = candidates[distribution(rng_)];
+  return {.endpoint = drawn.id, .started_ms = drawn.started_ms};
 }
 
 time_point endpoint_selector::OnSend(time_point now,
--- a/src/libtrefoilmill/request/request_run.cc
+++ b/src/libtrefoilmill/request/request_run.cc
@@ -31,11 +31,6 @@
   return std::visit(visitor{}, outcome);
 }
 
-bool Contains(const std::vector<endpoint_id>& endpoints,
-              const endpoint_id& id) {
-  return std::ranges::find(endpoints, id) != endpoints.end();
-}
-
 /// Returns why an attempt without a good reply failed.
 reason_code FailureReason(const attempt_outcome& outcome) {
   struct visitor {
@@ -50,28 +45,6 @@
 
 }  // namespace
 
-std::string_view ToString(resend_obstacle obstacle) {
-  switch (obstacle) {
-    case resend_obstacle::kNone:
-      return "none";
-    case resend_obstacle::kBudget:
-      return "budget";
-    case resend_obstacle::kNoConnection:
-      return "no_connection";
-    case resend_obstacle::kNoReplica:
-      return "no_replica";
-    case resend_obstacle::kRequestLimit:
-      return "request_limit";
-    case resend_obstacle::kAttemptLimit:
-      return "attempt_limit";
-    case resend_obstacle::kEndpointsEnded:
-      return "endpoints_ended";
-    case resend_obstacle::kOverShare:
-      return "over_share";
-  }
-  return "unknown";
-}
-
 request_run::request_run(std::shared_ptr<const route_table> table,
                          const route& r,
                          std::vector<service_id> services,
@@ -119,7 +92,7 @@
                      TimeLeft(now), endpoint_selector::purpose::kFirst);
   if (const auto* selected =
           std::get_if<endpoint_selector::selected>(&selection)) {
-    SendTo(now, shared, index, selected->endpoint, out);
+    SendTo(now, shared, index, *selected, out);
     return;
   }
   if (std::holds_alternative<endpoint_selector::no_capacity>(selection)) {
@@ -135,98 +108,6 @@
   counts_.last_failure = reason_code::kNoReplica;
 }
 
-endpoint_selector::selection request_run::SelectEndpoint(
-    time_point now,
-    shared_request_state& shared,
-    const shard& s,
-    duration expected,
-    duration time_left,
-    endpoint_selector::purpose purpose) const {
-  std::vector<endpoint_id> excluded = ExcludedEndpoints(shared.registry, s);
-  if (!IsCautious()) {
-    return SelectOther(now, shared, s, excluded, expected, time_left, purpose);
-  }
-  // An end shows what it is due to only if the endpoint was up before.
-  std::vector<endpoint_id> not_known_up = excluded;
-  std::ranges::copy_if(
-      shared.registry.EndpointsOf(s.service), std::back_inserter(not_known_up),
-      [&](const endpoint_id& id) {
-        return !shared.selector.IsKnownToBeUp(now, id, expected);
-      });
-  auto selection =
-      SelectOther(now, shared, s, not_known_up, expected, time_left, purpose);
-  if (std::holds_alternative<endpoint_selector::selected>(selection)) {
-    return selection;
-  }
-  return SelectOther(now, shared, s, excluded, expected, time_left, purpose);
-}
-
-endpoint_selector::selection request_run::SelectOther(
-    time_point now,
-    shared_request_state& shared,
-    const shard& s,
-    const std::vector<endpoint_id>& never,
-    duration expected,
-    duration time_left,
-    endpoint_selector::purpose purpose) const {
-  const auto select = [&](const std::vector<endpoint_id>& excluded) {
-    return shared.selector.Select(now, shared.registry, s.service, excluded,
-                                  expected, time_left, purpose);
-  };
-  const auto choice =
-      shared.rollouts.Choose(now, s.service, s.tried_endpoints.empty());
-  if (choice == rollout_table::version_choice::kAny) {
-    return select(never);
-  }
-  std::vector<endpoint_id> excluded = never;
-  shared.rollouts.Exclude(shared.registry, s.service, choice, excluded);
-  auto selection = select(excluded);
-  const auto alternative = rollout_table::Alternative(
-      choice,
-      std::holds_alternative<endpoint_selector::no_capacity>(selection));
-  if (std::holds_alternative<endpoint_selector::selected>(selection) ||
-      !alternative.has_value()) {
-    return selection;
-  }
-  excluded = never;
-  shared.rollouts.Exclude(shared.registry, s.service, *alternative, excluded);
-  return select(excluded);
-}
-
-// Where the limit is reached, an endpoint that had the request from another
-// host may get it again: that runs it on no further endpoint.
-std::vector<endpoint_id> request_run::ExcludedEndpoints(
-    const endpoint_registry& registry,
-    const shard& s) const {
-  std::vector<endpoint_id> excluded = s.tried_endpoints;
-  if (MayUseAnotherEndpoint(s)) {
-    return excluded;
-  }
-  std::ranges::copy_if(
-      registry.EndpointsOf(s.service), std::back_inserter(excluded),
-      [&s](const endpoint_id& id) { return !Contains(s.tried_elsewhere, id); });
-  return excluded;
-}
-
-std::size_t request_run::EndpointsUsed(const shard& s) const {
-  const auto only_elsewhere = std::ranges::count_if(
-      s.tried_elsewhere,
-      [&s](const endpoint_id& id) { return !Contains(s.tried_endpoints, id); });
-  std::size_t used =
-      s.tried_endpoints.size() + static_cast<std::size_t>(only_elsewhere);
-  if (std::holds_alternative<relay_target>(route_->target)) {
-    // The limit of a relayed request is for all services together.
-    for (const service_attempts& sent : other_attempts_) {
-      used += sent.endpoints.size();
-    }
-  }
-  return used;
-}
-
-bool request_run::MayUseAnotherEndpoint(const shard& s) const {
-  return EndpointsUsed(s) < static_cast<std::size_t>(route_->max_endpoints);
-}
-
 bool request_run::HasEarlierAttempts() const {
   return !other_attempts_.empty() ||
          std::ranges::any_of(shards_, [](const shard& s) {
@@ -242,24 +123,6 @@
   }
 }
 
-resend_obstacle request_run::ObstacleOf(
-    const endpoint_selector::selection& selection) {
-  struct visitor {
-    resend_obstacle operator()(const endpoint_selector::selected&) const {
-      return resend_obstacle::kNone;
-    }
-    resend_obstacle operator()(const endpoint_selector::no_capacity&) const {
-      return resend_obstacle::kNoConnection;
-    }
-    resend_obstacle operator()(
-        const endpoint_selector::no_usable_endpoint& none) const {
-      return none.limited ? resend_obstacle::kRequestLimit
-                          : resend_obstacle::kNoReplica;
-    }
-  };
-  return std::visit(visitor{}, selection);
-}
-
 void request_run::FailShard(time_point now,
                             shared_request_state& shared,
                             shard& s,
@@ -273,17 +136,19 @@
 void request_run::SendTo(time_point now,
                          shared_request_state& shared,
                          std::size_t index,
-                         const endpoint_id& endpoint,
+                         const endpoint_selector::selected& selected,
                          actions& out) {
   shard& s = shards_[index];
+  const endpoint_id& endpoint = selected.endpoint;
   const attempt_id id(++shared.last_attempt_id);
   s.tried_endpoints.push_back(endpoint);
   s.in_flight.push_back(
       {.id = id,
        .endpoint = endpoint,
+       .started_ms = selected.started_ms,
        .sent = now,
-       .cautious = IsCautious(),
-       .oldest_at_endpoint = shared.selector.OnSend(now, endpoint, id)});
+       .oldest_at_endpoint = shared.selector.OnSend(now, endpoint, id),
+       .sent_alone = IsCautious()});
   s.awaiting_capacity = false;
   s.obstacle = resend_obstacle::kNone;
   ++counts_.sends;
@@ -377,16 +242,6 @@
        .failed = ClassifyOutcome(outcome) == send_outcome::kFailed});
 }
 
-bool request_run::CanRetry(const shard& s) const {
-  const bool has_endpoint =
-      MayUseAnotherEndpoint(s) ||
-      std::ranges::any_of(s.tried_elsewhere, [&s](const endpoint_id& id) {
-        return !Contains(s.tried_endpoints, id);
-      });
-  return has_endpoint && (s.worst_verdict == verdict::kNotRun ||
-                          route_->retry == retry_rule::kIdempotent);
-}
-
 void request_run::RetryOrFail(time_point now,
                               shared_request_state& shared,
                               std::size_t index,
@@ -454,7 +309,7 @@
     return ContinueDeferred(now, shared);
   }
   HedgeLateShards(now, shared, out);
-  RecordSilence(now, shared);
+  WarnOfSilence(now, shared);
   FinishIfDue(now, out);
   ScheduleWake(now, shared, out);
   return out;
@@ -479,7 +334,7 @@
   consider(objective_deadline_ + route_->objective);
   const duration delay = HedgeDelay(shared);
   for (const shard& s : shards_) {
-    if (CanHedge(now, s)) {
+    if (MayHedge(now, s)) {
       consider(HedgeTime(s, delay));
     }
     for (const attempt& a : s.in_flight) {
@@ -488,8 +343,8 @@
       }
     }
   }
-  if (const auto suspicion = SuspicionTime(shared)) {
-    consider(*suspicion);
+  if (const auto warning = NextWarning(shared)) {
+    consider(warning->at);
   }
   out.emplace_back(wake{next});
 }
--- a/src/libtrefoilmill/request/request_run_caution_test.cc
+++ b/src/libtrefoilmill/request/request_run_caution_test.cc
@@ -153,6 +153,23 @@
   BOOST_TEST(sends.size() == 12U);
 }
 
+// All other endpoints are busy when the first such hedge is due.
+BOOST_FIXTURE_TEST_CASE(a_hedge_without_a_connection_is_tried_again, fixture) {
+  StartIdentified("/sweep/1");
+  for (int shard = 0; shard < kShards; ++shard) {
+    for (int replica = 0; replica < kReplicas; ++replica) {
+      shared.selector.SetIdleConnections(Endpoint(shard, replica), 0);
+    }
+  }
+  RunUntil(now + milliseconds(25));
+  BOOST_TEST(sends.size() == 10U);
+  shared.selector.SetIdleConnections(Endpoint(0, 0), 1);
+  shared.selector.SetIdleConnections(Endpoint(0, 1), 1);
+  shared.selector.SetIdleConnections(Endpoint(0, 2), 1);
+  RunUntil(now + milliseconds(15));
+  BOOST_TEST(sends.size() == 11U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_sweep_with_a_late_reply_is_hedged_as_usual, fixture) {
   StartIdentified("/sweep/1");
   RunUntil(now + milliseconds(25));
@@ -164,7 +181,7 @@
 BOOST_FIXTURE_TEST_CASE(a_sweep_without_any_reply_is_suspect, fixture) {
   StartIdentified("/sweep/1");
   RunUntil(now + milliseconds(190));
-  shared.selector.crashes().OnAlive(now, Endpoint(0, 2));
+  shared.responses.OnResponse(now, Endpoint(0, 2));
   RunUntil(now + milliseconds(20));
   BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
               request_standing::kSuspect));
@@ -175,7 +192,7 @@
                         fixture) {
   StartIdentified("/sweep/1");
   for (int step = 0; step < 30; ++step) {
-    shared.selector.crashes().OnAlive(now, Endpoint(0, 2));
+    shared.responses.OnResponse(now, Endpoint(0, 2));
     RunUntil(now + milliseconds(10));
   }
   BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
@@ -195,7 +212,7 @@
 BOOST_FIXTURE_TEST_CASE(a_suspect_goes_to_an_endpoint_that_is_up_first,
                         fixture) {
   BecomeSuspect();
-  shared.selector.crashes().OnAlive(now, Endpoint(7, 1));
+  shared.responses.OnResponse(now, Endpoint(7, 1));
   StartIdentified("/sweep/1");
   BOOST_TEST_REQUIRE(sends.size() == 1U);
   BOOST_TEST((sends[0].endpoint == Endpoint(7, 1)));
@@ -205,11 +222,11 @@
 BOOST_FIXTURE_TEST_CASE(nobody_is_blamed_for_the_loss_of_all_endpoints,
                         fixture) {
   for (int replica = 0; replica < kReplicas; ++replica) {
-    shared.selector.crashes().OnAlive(now, Endpoint(0, replica));
+    shared.responses.OnResponse(now, Endpoint(0, replica));
   }
   now += milliseconds(100);
   for (int attempt = 0; attempt < 4; ++attempt) {
-    shared.selector.crashes().OnAlive(now, Endpoint(1, 0));
+    shared.responses.OnResponse(now, Endpoint(1, 0));
     sends.clear();
     answer.reset();
     StartIdentified("/read/1");
--- a/src/libtrefoilmill/request/request_run_hedge.cc
+++ b/src/libtrefoilmill/request/request_run_hedge.cc
@@ -67,7 +67,7 @@
   const duration delay = HedgeDelay(shared);
   CountLateAttempts(now, delay);
   if (IsCautious()) {
-    HedgeCautiously(now, shared, out);
+    HedgeCautiously(now, shared, delay, out);
     return;
   }
   for (std::size_t index = 0; index < shards_.size(); ++index) {
@@ -114,7 +114,7 @@
   }
   s.hedged = true;
   ++counts_.hedges;
-  SendTo(now, shared, index, selected->endpoint, out);
+  SendTo(now, shared, index, *selected, out);
 }
 
 }  // namespace trefoilmill
--- a/src/libtrefoilmill/request/request_run_start.cc
+++ b/src/libtrefoilmill/request/request_run_start.cc
@@ -147,9 +147,9 @@
 request_run::actions request_run::SendAll(time_point now,
                                           shared_request_state& shared) {
   actions out;
-  suspect_ = Standing(now, shared) != request_standing::kClear;
+  caution_.SetSuspect(Standing(now, shared) != request_standing::kClear);
   for (const std::size_t index : CautiousOrder(now, shared)) {
-    if (suspect_ && (in_flight() || awaiting_capacity())) {
+    if (IsCautious() && (in_flight() || awaiting_capacity())) {
       shards_[index].held = true;
     } else {
       Dispatch(now, shared, index, out);
--- a/src/libtrefoilmill/version/store_follower_test.cc
+++ b/src/libtrefoilmill/version/store_follower_test.cc
@@ -113,6 +113,25 @@
   BOOST_TEST(follower.changed_at().value() == 12U);
 }
 
+// Numbers of revisions start lower after a restoration.
+BOOST_FIXTURE_TEST_CASE(a_later_era_goes_before_a_higher_number, fixture) {
+  follower.Start();
+  Resume(List({Object("a", 30)}, 40));
+  const auto in_era = [](std::uint64_t at) {
+    return revision(store_era(2), at);
+  };
+  follower.OnPeerCopy({.as_of = in_era(5), .objects = {}});
+  stored_object written = Object("b", 0);
+  written.at = in_era(7);
+  follower.OnPeerChanges(in_era(5),
+                         {.events = {{.object = written}}, .as_of = in_era(7)});
+  BOOST_TEST(follower.objects().contains("b"));
+  // Written in the earlier era, by its number after what is known.
+  follower.OnPeerChanges(
+      in_era(7), {.events = {{.object = Object("c", 90)}}, .as_of = in_era(8)});
+  BOOST_TEST(!follower.objects().contains("c"));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_list_follows_the_loss_of_history, fixture) {
   follower.Start();
   Resume(List({Object("a", 3)}, 5));
--- a/src/trefoilmill_entry/connection_pools.cc
+++ b/src/trefoilmill_entry/connection_pools.cc
@@ -4,7 +4,7 @@
 #include <ranges>
 #include <utility>
 
-#include "platform/http_conversion.h"
+#include "platform/endpoint_notice.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -14,7 +14,7 @@
 /// An idle connection is closed this long before the endpoint would close it,
 /// so that no request is sent while the endpoint closes it.
 constexpr duration kIdleMargin = std::chrono::milliseconds(1500);
-/// Limit for the response to a probe.
+/// Limit for the response to a probe. An endpoint may let it wait for a slot.
 constexpr duration kProbeTimeout = std::chrono::milliseconds(500);
 /// Assumed until a reply of the endpoint states its idle timeout.
 constexpr duration kDefaultIdleTimeout = std::chrono::seconds(30);
@@ -53,7 +53,7 @@
   /// How long the endpoint keeps an idle connection open.
   duration idle_timeout = kDefaultIdleTimeout;
   /// Sent on the next connection that opens.
-  std::optional<http_request> probe;
+  std::optional<connection_pools::probe> probe;
   /// No connection is opened before this time.
   time_point reopen_at;
   duration reopen_delay{};
@@ -123,23 +123,25 @@
 }
 
 bool connection_pools::CheckEndpoint(const endpoint_id& id,
-                                     std::optional<http_request> probe) {
+                                     std::optional<probe> asked) {
   const auto found = pools_.find(id);
   if (found == pools_.end()) {
     return false;
   }
   pool& p = *found->second;
   const auto idle = p.FindIdle();
-  if (idle != p.connections.end() && probe.has_value()) {
-    p.probe = std::move(probe);
+  if (idle != p.connections.end() && asked.has_value()) {
+    p.probe = std::move(asked);
     SendProbe(p, **idle);
+    EnsureIdleConnection(p);
+    ReportIdleCount(p);
     return true;
   }
   if (!p.IsConnecting() &&
       static_cast<int>(p.connections.size()) >= p.connection_limit) {
     return false;
   }
-  p.probe = std::move(probe);
+  p.probe = std::move(asked);
   if (!p.IsConnecting()) {
     Open(p);
   }
@@ -195,23 +197,28 @@
       placement_.crashes().OnConnectRefused(loop_.Now(), p.id);
     }
     p.reopen_at = loop_.Now() + kConnectTimeout;
+    p.probe.reset();
     Close(p, c);
     return;
   }
   c.idle_since = loop_.Now();
-  c.http->OnClosed([this, &p, &c] { OnClosedByPeer(p, c); });
+  c.http->OnClosed([this, &p, &c] { OnClosed(p, c, /*by_endpoint=*/true); });
   placement_.OnConnected(p.id);
   SendProbe(p, c);
   ReportIdleCount(p);
   on_idle_(p.id);
 }
 
-void connection_pools::OnClosedByPeer(pool& p, const connection& c) {
+void connection_pools::OnClosed(pool& p,
+                                const connection& c,
+                                bool by_endpoint) {
   if (!c.has_replied) {
     p.reopen_delay =
         std::clamp(p.reopen_delay * 2, kMinReopenDelay, kMaxReopenDelay);
     p.reopen_at = loop_.Now() + p.reopen_delay;
-    placement_.crashes().OnClosedUnused(loop_.Now(), p.id);
+    if (by_endpoint) {
+      placement_.crashes().OnClosedUnused(loop_.Now(), p.id);
+    }
   }
   Close(p, c);
 }
@@ -264,7 +271,7 @@
   if (p.removed) {
     Close(p, c);
   } else if (!c.http->connected()) {
-    OnClosedByPeer(p, c);
+    OnClosed(p, c, exchange.failure_reason == http_failure::kConnectionLost);
   } else {
     ReportIdleCount(p);
   }
@@ -278,25 +285,9 @@
   }
   c.busy = true;
   c.attempt = {};
-  c.done = [this, id = p.id](const http_result& exchange) {
-    endpoint_reach& reach = placement_.reach();
-    if (!exchange.response.has_value()) {
-      if (exchange.failure_reason == http_failure::kConnectionLost) {
-        reach.OnLost(loop_.Now(), id);
-      } else {
-        reach.OnLate(loop_.Now(), id);
-      }
-      return;
-    }
-    reach.OnResponse(loop_.Now(), id);
-    endpoint_crashes& crashes = placement_.crashes();
-    if (platform::IsFromAnotherInstance(*exchange.response, id)) {
-      crashes.OnInstanceGone(loop_.Now(), id);
-    } else {
-      crashes.OnAlive(loop_.Now(), id);
-    }
-  };
-  c.http->Send(*std::exchange(p.probe, std::nullopt), kProbeTimeout,
+  const probe sent = *std::exchange(p.probe, std::nullopt);
+  c.done = sent.done;
+  c.http->Send(sent.request, kProbeTimeout,
                [this, &p, &c](http_result exchange) {
                  OnReply(p, c, std::move(exchange));
                });
--- a/src/trefoilmill_entry/connection_pools.h
+++ b/src/trefoilmill_entry/connection_pools.h
@@ -48,11 +48,17 @@
   /// Opens a connection for a waiting request, unless one is idle or being
   /// opened, the limit is reached or the endpoint just closed one unused.
   void RequestConnection(const endpoint_id& id);
-  /// Finds out whether the endpoint is up, and tells the endpoint_crashes:
-  /// sends `probe`, if it is set, on an idle connection or a new one, which is
-  /// opened although the endpoint may have closed others unused. Returns false
-  /// if the limit of connections is reached.
-  bool CheckEndpoint(const endpoint_id& id, std::optional<http_request> probe);
+  /// A request that asks an endpoint whether it is up.
+  struct probe {
+    http_request request;
+    /// Called once if it was sent.
+    http_connection::result_callback done;
+  };
+  /// Finds out whether the endpoint is up: sends `asked`, if it is set, on an
+  /// idle connection, or else opens one and sends it there, although the
+  /// endpoint may have closed others unused. Returns false if the limit of
+  /// connections is reached.
+  bool CheckEndpoint(const endpoint_id& id, std::optional<probe> asked);
   /// The endpoint is leaving: closes its idle connections, and keeps none open
   /// from now on. RequestConnection() still opens one.
   void Retire(const endpoint_id& id);
@@ -84,7 +90,9 @@
   void Open(pool& p);
   void OnConnected(pool& p, connection& c, bool connected);
   void OnReply(pool& p, connection& c, http_result exchange);
-  void OnClosedByPeer(pool& p, const connection& c);
+  /// The connection is closed: by the endpoint, or by this host for want of a
+  /// reply.
+  void OnClosed(pool& p, const connection& c, bool by_endpoint);
   /// Sends the pool's probe, if it has one, on an idle connection.
   void SendProbe(pool& p, connection& c);
   /// Closes the connection and removes it from the pool.
--- a/src/trefoilmill_entry/connection_pools_test.cc
+++ b/src/trefoilmill_entry/connection_pools_test.cc
@@ -53,6 +53,52 @@
                          [](const http_result&) {}));
 }
 
+// A request that was sent to an endpoint whose only connection a probe uses
+// failed at once.
+BOOST_FIXTURE_TEST_CASE(a_connection_that_a_probe_uses_is_not_idle, fixture) {
+  const raw_server server(*loop, "", raw_server_action::kKeepOpen);
+  endpoint_registry registry(seconds(2));
+  registry.Put(loop->Now(), {.id = a,
+                             .service = service_id("s"),
+                             .zone = zone_id("z"),
+                             .address = {kTestIp, server.port()},
+                             .slots = 2});
+  Open(a, server);
+  bool ended = false;
+  BOOST_TEST(pools.CheckEndpoint(
+      a, connection_pools::probe{.request = Request(),
+                                 .done = [&](const http_result& exchange) {
+                                   ended = !exchange.response.has_value();
+                                 }}));
+  const auto selection = endpoint_placement.Select(
+      loop->Now(), registry, service_id("s"), {}, milliseconds(10), seconds(1),
+      endpoint_selector::purpose::kFirst);
+  BOOST_TEST(std::holds_alternative<endpoint_selector::no_capacity>(selection));
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return ended; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_probe_is_sent_on_no_later_connection, fixture) {
+  std::uint16_t closed_port = 0;
+  {
+    const raw_server ended(*loop, kReply, raw_server_action::kKeepOpen);
+    closed_port = ended.port();
+  }
+  pools.SetStandby(true);
+  pools.Add(a, {kTestIp, closed_port}, 1);
+  bool was_sent = false;
+  BOOST_TEST(pools.CheckEndpoint(
+      a, connection_pools::probe{
+             .request = Request(),
+             .done = [&](const http_result&) { was_sent = true; }}));
+  RunFor(*loop, milliseconds(50));
+  const raw_server back(*loop, kReply, raw_server_action::kKeepOpen,
+                        closed_port);
+  RunFor(*loop, milliseconds(600));
+  pools.RequestConnection(a);
+  RunFor(*loop, milliseconds(100));
+  BOOST_TEST(!was_sent);
+}
+
 // A reply can be queued in the event loop while its attempt is aborted; the
 // callback is empty by then, and calling it crashed the process.
 BOOST_FIXTURE_TEST_CASE(aborting_with_a_queued_reply_calls_back_once, fixture) {
--- a/src/trefoilmill_entry/crash_checker.cc
+++ b/src/trefoilmill_entry/crash_checker.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "trefoilmill/wire/log_messages.h"
+#include "trefoilmill_entry/endpoint_evidence.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -41,6 +42,12 @@
   check_timer_ = loop_.RunAfter(kCheckInterval, [this] { Check(); });
 }
 
+void crash_checker::OnEndpointsChanged() {
+  if (checking_) {
+    Check();
+  }
+}
+
 void crash_checker::Check() {
   const time_point now = loop_.Now();
   endpoint_crashes& crashes = shared_state_.selector.crashes();
@@ -86,7 +93,13 @@
   if (path.empty() || !shared_state_.selector.MayProbe(now, *entry)) {
     return pools_.CheckEndpoint(id, std::nullopt);
   }
-  if (!pools_.CheckEndpoint(id, http_request{.method = "GET", .path = path})) {
+  const bool asked = pools_.CheckEndpoint(
+      id, connection_pools::probe{
+              .request = {.method = "GET", .path = path},
+              .done = [this, id](const http_result& exchange) {
+                RecordExchange(loop_.Now(), shared_state_, id, exchange);
+              }});
+  if (!asked) {
     return false;
   }
   shared_state_.selector.OnProbe(now, id);
--- a/src/trefoilmill_entry/crash_checker.h
+++ b/src/trefoilmill_entry/crash_checker.h
@@ -32,6 +32,9 @@
   /// A reply was lost: checks the endpoint until it is known whether it has
   /// ended, for some seconds at most.
   void OnReplyLost();
+  /// Endpoints were added, replaced or removed, which may show that others have
+  /// ended. To be called before one that was replaced is heard of.
+  void OnEndpointsChanged();
 
  private:
   void Check();
--- a/src/trefoilmill_entry/crash_checker_test.cc
+++ b/src/trefoilmill_entry/crash_checker_test.cc
@@ -108,6 +108,41 @@
   BOOST_TEST(recorded == 0);
 }
 
+// A probe that times out is closed by this host, not by the endpoint.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_pauses_has_not_ended, fixture) {
+  const raw_server paused(*loop, "", raw_server_action::kKeepOpen);
+  const raw_server server(*loop, kReply, raw_server_action::kKeepOpen);
+  Add("ended", paused.port(), 1);
+  Add("other", server.port(), 1);
+  LoseReplyOf("ended");
+  RunFor(*loop, seconds(2));
+  BOOST_TEST(recorded == 0);
+}
+
+// An instance with the same id responds before the loss is looked at again.
+BOOST_FIXTURE_TEST_CASE(an_instance_with_the_same_id_clears_nothing, fixture) {
+  const raw_server server(*loop, kReply, raw_server_action::kKeepOpen);
+  Add("ended", server.port(), 1);
+  shared.selector.crashes().OnReplyLost(
+      {.endpoint = endpoint_id("ended"),
+       .started_ms = 0,
+       .request = request,
+       .abandoned = true,
+       .lost_at = loop->Now(),
+       .sent_to_live_at = loop->Now() - seconds(2)});
+  checker.OnReplyLost();
+  shared.registry.Put(loop->Now(), {.id = endpoint_id("ended"),
+                                    .service = service_id("s"),
+                                    .zone = zone_id("z"),
+                                    .address = {kTestIp, server.port()},
+                                    .slots = 2,
+                                    .started_ms = 5});
+  checker.OnEndpointsChanged();
+  shared.selector.crashes().OnAlive(loop->Now(), endpoint_id("ended"));
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return recorded > 0; }));
+  BOOST_TEST(shared.quarantine.HasStrikes(request));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_silent_endpoint_has_ended_once_it_is_replaced,
                         fixture) {
   const raw_server silent(*loop, "", raw_server_action::kKeepOpen);
--- a/src/trefoilmill_entry/entry_process_updates.cc
+++ b/src/trefoilmill_entry/entry_process_updates.cc
@@ -213,13 +213,16 @@
       AddPool(endpoint.id);
     }
     void operator()(const endpoint_registry::replaced& endpoint) const {
-      self.pools_->Remove(endpoint.id);
-      self.shared_state_.selector.Forget(endpoint.id);
+      Drop(endpoint.id);
       AddPool(endpoint.id);
     }
     void operator()(const endpoint_registry::removed& endpoint) const {
-      self.pools_->Remove(endpoint.id);
-      self.shared_state_.selector.Forget(endpoint.id);
+      Drop(endpoint.id);
+    }
+    void Drop(const endpoint_id& id) const {
+      self.pools_->Remove(id);
+      self.shared_state_.selector.Forget(id);
+      self.shared_state_.responses.Forget(id);
     }
     void AddPool(const endpoint_id& id) const {
       const endpoint_record& record =
@@ -234,6 +237,7 @@
     shared_state_.selector.reach().SetKnownEndpoints(
         shared_state_.registry.entries().size());
     UpdateConnectionLimits();
+    crash_checker_->OnEndpointsChanged();
   }
 }
 
--- a/src/trefoilmill_entry/reach_prober.cc
+++ b/src/trefoilmill_entry/reach_prober.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "trefoilmill_entry/endpoint_evidence.h"
+
 namespace trefoilmill::entry {
 namespace {
 
@@ -73,12 +75,11 @@
   probes_.at(number)->Send(
       {.method = "GET", .path = health_path}, kResponseTimeout,
       [this, number, id](const http_result& exchange) {
-        endpoint_reach& reach = shared_state_.selector.reach();
+        const time_point now = loop_.Now();
         if (exchange.response.has_value()) {
-          reach.OnResponse(loop_.Now(), id);
-          shared_state_.selector.crashes().OnAlive(loop_.Now(), id);
+          RecordResponse(now, shared_state_, id, *exchange.response);
         } else {
-          reach.OnLate(loop_.Now(), id);
+          shared_state_.selector.reach().OnLate(now, id);
         }
         End(number);
       });
--- a/src/trefoilmill_entry/request_forwarder_test.cc
+++ b/src/trefoilmill_entry/request_forwarder_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "../libtmnet/net_test_support.h"
+#include "platform/headers.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -209,7 +210,7 @@
     AddHost(name, [&](const http_request&, const http_responder& responder) {
       ++ran;
       responder.Send({.status = 400,
-                      .headers = {{"Trefoilmill-Server-Stamp", "i-7.r-1"}}});
+                      .headers = {{platform::kServerStampHeader, "i-7.r-1"}}});
     });
   }
   BOOST_TEST(Ask().response->status == 400);
@@ -259,8 +260,8 @@
 // ran. The caller would send it again.
 BOOST_AUTO_TEST_CASE(does_not_call_not_run_what_an_endpoint_ran) {
   AddHost("b", [](const http_request&, const http_responder& responder) {
-    responder.Send(
-        {.status = 503, .headers = {{"Trefoilmill-Server-Stamp", "i-7.r-1"}}});
+    responder.Send({.status = 503,
+                    .headers = {{platform::kServerStampHeader, "i-7.r-1"}}});
   });
   BOOST_TEST(Ask().response->status == 503);
   at_most_once = true;
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -182,8 +182,6 @@
   void OnAttemptEnd(request_number number,
                     attempt_id attempt,
                     http_result exchange);
-  /// Takes in what the end of an attempt shows of the link to the endpoint.
-  void RecordReach(const endpoint_id& endpoint, const http_result& exchange);
   /// Acts on what an endpoint's reply says of the endpoint itself.
   void ApplyNotice(const request_id& request,
                    const endpoint_id& endpoint,
--- a/src/trefoilmill_entry/request_handler_attempts.cc
+++ b/src/trefoilmill_entry/request_handler_attempts.cc
@@ -9,6 +9,7 @@
 #include "platform/http_conversion.h"
 #include "request_handler_impl.h"
 #include "trefoilmill/wire/log_messages.h"
+#include "trefoilmill_entry/endpoint_evidence.h"
 
 namespace trefoilmill::entry {
 
@@ -32,7 +33,7 @@
     ApplyNotice(active.id, endpoint, *exchange.response);
   }
   if (exchange.response.has_value() || !active.caller_disconnected) {
-    RecordReach(endpoint, exchange);
+    RecordExchange(loop_.Now(), shared_state_, endpoint, exchange);
   }
   attempt_outcome outcome =
       platform::ClassifyEndpointExchange(active.id, std::move(exchange));
--- a/src/trefoilmill_entry/request_handler_log.cc
+++ b/src/trefoilmill_entry/request_handler_log.cc
@@ -178,6 +178,7 @@
                   {"hedges", number(counts.hedges)},
                   {"retries", number(counts.retries)},
                   {"budget_refusals", number(counts.budget_refusals)},
+                  {"hosts_warned", static_cast<std::int64_t>(counts.warned)},
                   {"over_share", std::int64_t{shared_state_.shares.IsOverShare(
                                      loop_.Now(), active.organisation)}},
                   {"troubles", DescribeTroubles(active.run)}}});
--- a/src/trefoilmill_entry/request_handler_notice.cc
+++ b/src/trefoilmill_entry/request_handler_notice.cc
@@ -1,39 +1,10 @@
 /// What request_handler learns of endpoints from the ends of attempts.
-#include "platform/http_conversion.h"
+#include "platform/endpoint_notice.h"
 #include "request_handler_impl.h"
 #include "trefoilmill/wire/log_messages.h"
 
 namespace trefoilmill::entry {
 
-void request_handler::RecordReach(const endpoint_id& endpoint,
-                                  const http_result& exchange) {
-  endpoint_reach& reach = shared_state_.selector.reach();
-  const time_point now = loop_.Now();
-  if (exchange.response.has_value()) {
-    reach.OnResponse(now, endpoint);
-    endpoint_crashes& crashes = shared_state_.selector.crashes();
-    if (platform::IsFromAnotherInstance(*exchange.response, endpoint)) {
-      crashes.OnInstanceGone(now, endpoint);
-    } else {
-      crashes.OnAlive(now, endpoint);
-    }
-    return;
-  }
-  switch (*exchange.failure_reason) {
-    case http_failure::kMalformed:
-      // The endpoint did send something.
-      reach.OnResponse(now, endpoint);
-      return;
-    case http_failure::kConnectionLost:
-      reach.OnLost(now, endpoint);
-      return;
-    case http_failure::kNotConnected:
-    case http_failure::kTimeout:
-      reach.OnLate(now, endpoint);
-      return;
-  }
-}
-
 void request_handler::ApplyNotice(const request_id& request,
                                   const endpoint_id& endpoint,
                                   const http_response& reply) {
