--- a/src/libtrefoilmill/process/endpoint_crashes_test.cc
+++ b/src/libtrefoilmill/process/endpoint_crashes_test.cc
@@ -141,7 +141,8 @@
   BOOST_TEST(crashes.TakeConfirmed(kStart + milliseconds(22)).size() == 1U);
 }
 
-// An idle connection is reset as the endpoint ends, before new ones are refused.
+// An idle connection is reset as the endpoint ends, before new ones are
+// refused.
 BOOST_AUTO_TEST_CASE(has_ended_if_it_closes_what_is_idle_and_refuses) {
   Lose(1);
   crashes.OnClosedUnused(kStart + milliseconds(1), ended_id);
