Requests that the server rejects by itself are logged and counted

Change: http_server reports each rejection; the entry process logs it by address and peer, bounded as all lines are, and counts trefoilmill_rejected_requests_total. Nothing of the request is logged, as it may hold a key. Not reported: what evhttp rejects behind a response that is not written yet.

Measured: http_request_smuggling_test wants one report with the response's status for each rejected case at each split; rejected_requests_test the line, the metric and no key.

--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -74,6 +74,14 @@
   duration idle_timeout = std::chrono::seconds(60);
 };
 
+/// A request that the server rejected by itself.
+struct rejected_request {
+  /// Status of the response.
+  int status = 0;
+  /// The peer's IP number.
+  std::string peer_ip;
+};
+
 /// HTTP server on one IPv4 address. Rejects malformed and oversized requests
 /// itself, with a JSON error body; passes all others to the request handler.
 class http_server {
@@ -130,6 +138,9 @@
   void SetAcceptFilter(std::function<bool()> accept_filter);
   /// Sets the task to call whenever a connection has closed.
   void OnConnectionClosed(std::function<void()> task);
+  /// Sets the task to call for each request that the server rejects by itself
+  /// and that the handler does not see.
+  void OnRejected(std::function<void(const rejected_request&)> task);
   /// Closes all connections at once, as a restart of the process would.
   /// Requests that are received but not yet parsed are not handled. For fault
   /// injection.
--- a/src/include/trefoilmill/net/metrics.h
+++ b/src/include/trefoilmill/net/metrics.h
@@ -50,6 +50,7 @@
   kCallerRequests,
   kCallerRequestDuration,
   kOrganisationRequests,
+  kRejectedRequests,
   kAnswersLost,
   kEndpointSends,
   kLimitedEndpointSends,
--- a/src/include/trefoilmill/wire/log_messages.h
+++ b/src/include/trefoilmill/wire/log_messages.h
@@ -39,6 +39,8 @@
 inline constexpr char kEndpointsShort[] =
     "endpoints are short: organisations get shares";
 inline constexpr char kEndpointsSuffice[] = "endpoints are short no more";
+inline constexpr char kRequestRejected[] =
+    "request rejected as malformed or too large";
 inline constexpr char kRequestHandedOver[] =
     "request in progress is handed over";
 inline constexpr char kRequestForwarded[] = "request forwarded to another host";
--- a/src/libtmnet/http_common.cc
+++ b/src/libtmnet/http_common.cc
@@ -134,6 +134,13 @@
   return copy;
 }
 
+std::string PeerIp(evhttp_connection* evcon) {
+  char* ip = nullptr;
+  ev_uint16_t port = 0;
+  evhttp_connection_get_peer(evcon, &ip, &port);
+  return ip == nullptr ? "" : ip;
+}
+
 std::string MethodName(unsigned type) {
   const auto* found =
       std::ranges::find_if(kMethodNames, [type](const method_entry& entry) {
--- a/src/libtmnet/http_common.h
+++ b/src/libtmnet/http_common.h
@@ -43,6 +43,9 @@
 /// Copies the headers in the order in which they were received.
 std::vector<http_header> CopyHeaders(const evkeyvalq* headers);
 
+/// IP number of the connection's peer; empty if it is not known.
+std::string PeerIp(evhttp_connection* evcon);
+
 /// Name of an evhttp_cmd_type. Returns "UNKNOWN" for a method that evhttp does
 /// not support, for which it reports a number outside of that enumeration.
 std::string MethodName(unsigned type);
--- a/src/libtmnet/http_request_smuggling_test.cc
+++ b/src/libtmnet/http_request_smuggling_test.cc
@@ -43,6 +43,8 @@
 struct fixture {
   std::unique_ptr<event_loop> loop = MakeLoop();
   std::vector<http_request> requests;
+  /// Statuses of the rejections that the server reported.
+  std::vector<int> rejections;
   std::unique_ptr<http_server> server = std::move(
       http_server::Listen(
           *loop,
@@ -54,10 +56,18 @@
           })
           .value());
 
+  fixture() {
+    server->OnRejected([this](const rejected_request& rejected) {
+      BOOST_TEST(rejected.peer_ip.starts_with("127."));
+      rejections.push_back(rejected.status);
+    });
+  }
+
   /// Sends `bytes` and the hidden request behind them, in two parts. Returns
   /// what came back once the connection is closed or idle.
   std::string Play(const std::string& bytes, std::size_t split) {
     requests.clear();
+    rejections.clear();
     raw_client peer(*loop, server->port());
     peer.Write(bytes.substr(0, split));
     if (split > 0 && split < bytes.size()) {
@@ -96,11 +106,14 @@
           BOOST_REQUIRE(requests.size() == 2U);
           BOOST_TEST(requests[0].body.size() == c.body_bytes);
           BOOST_TEST(c.bytes.starts_with(requests[0].method + " "));
+          BOOST_TEST(rejections.empty());
         } else {
           BOOST_REQUIRE(requests.empty());
           BOOST_TEST_INFO("split " << split << " got " << received);
           BOOST_TEST(StatusOf(received) ==
                      (IsUnknownMethod(c) && c.body_bytes == 0 ? "405" : "400"));
+          BOOST_REQUIRE(rejections.size() == 1U);
+          BOOST_TEST(std::to_string(rejections[0]) == StatusOf(received));
         }
       }
     }
--- a/src/libtmnet/http_responder_impl.h
+++ b/src/libtmnet/http_responder_impl.h
@@ -59,6 +59,8 @@
   /// Called when the next request may have to be rejected, as its bytes are
   /// malformed.
   std::function<void()> on_malformed;
+  /// Called with the status of each rejection that the server makes itself.
+  std::function<void(int)> on_rejected;
   /// The latest request; expired once its last responder is destroyed.
   std::weak_ptr<http_responder::impl> current_request;
   /// Called if the connection closes before the latest response is written.
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -30,25 +30,6 @@
 // of the response.
 constexpr ev_ssize_t kEvhttpLimitFactor = 4;
 constexpr std::uint16_t kAllMethods = 0xffff;
-// Length of a status line up to the status code, as in "HTTP/1.1 400", and the
-// offset of the code in it.
-constexpr std::size_t kStatusLinePrefixBytes = 12;
-constexpr std::size_t kStatusCodeOffset = 9;
-
-constexpr int kHttpHeadersTooLarge = 431;
-// Which end of a buffer evbuffer_freeze() concerns.
-constexpr int kAtFront = 1;
-
-// A response that rejects a request which evhttp does not handle.
-std::string MakeRejectionText(int status) {
-  const std::string body =
-      MakeErrorResponse(status, verdict::kNotRun, reason_code::kBadRequest)
-          .body;
-  return "HTTP/1.1 " + std::to_string(status) +
-         " Refused\r\nContent-Type: application/json"
-         "\r\nConnection: close\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
-}
 
 timeval ToTimeval(duration timeout) {
   return {.tv_sec = static_cast<time_t>(timeout.count() / 1'000'000),
@@ -127,7 +108,9 @@
       .accepted_at = loop.Now(),
       .framing = message_framing::ForRequests(kEvhttpLimitFactor *
                                               options.max_header_bytes),
-      .on_malformed = [this, evcon] { PostRejection(evcon); }});
+      .on_malformed = [this, evcon] { PostRejection(evcon); },
+      .on_rejected = [this,
+                      evcon](int status) { ReportRejection(evcon, status); }});
   evbuffer_add_cb(bufferevent_get_output(bev), &impl::OnOutputChanged,
                   connection.get());
   evbuffer_add_cb(bufferevent_get_input(bev), &impl::OnInputChanged,
@@ -135,45 +118,6 @@
   evhttp_connection_set_closecb(evcon, &impl::OnConnectionClosed, this);
 }
 
-void http_server::impl::PostRejection(evhttp_connection* evcon) {
-  const server_connection& connection = *connections.at(evcon);
-  loop.Post([weak = std::weak_ptr(liveness_token), evcon, id = connection.id] {
-    if (const auto owner = weak.lock()) {
-      (*owner)->RejectMalformed(evcon, id);
-    }
-  });
-}
-
-void http_server::impl::RejectMalformed(evhttp_connection* evcon,
-                                        std::uint64_t id) {
-  const auto found = connections.find(evcon);
-  if (found == connections.end() || found->second->id != id) {
-    return;
-  }
-  server_connection& connection = *found->second;
-  const auto request = connection.current_request.lock();
-  evbuffer* output = bufferevent_get_output(connection.bev);
-  const bool is_busy = (request != nullptr && !request->completed()) ||
-                       evbuffer_get_length(output) > 0;
-  if (is_busy || connection.refused || connection.closed_by_server ||
-      connection.framing.empty()) {
-    return;
-  }
-  const bool is_too_long =
-      connection.framing.front().found == message_framing::fault::kTooLong;
-  const std::string response =
-      MakeRejectionText(is_too_long ? kHttpHeadersTooLarge : HTTP_BADREQUEST);
-  connection.closed_by_server = true;
-  connection.writing_response = true;
-  evbuffer_add(output, response.data(), response.size());
-  evbuffer_unfreeze(output, kAtFront);
-  evbuffer_write(output, bufferevent_getfd(connection.bev));
-  evbuffer_freeze(output, kAtFront);
-  connection.writing_response = false;
-  // The event loop then detects the end of the connection and frees it.
-  shutdown(bufferevent_getfd(connection.bev), SHUT_RDWR);
-}
-
 void http_server::impl::OnConnectionClosed(evhttp_connection* evcon,
                                            void* self) {
   auto* server = static_cast<impl*>(self);
@@ -201,39 +145,6 @@
   }
 }
 
-// Called when the output buffer changes. evhttp rejects malformed and oversized
-// requests with an HTML page of its own and then closes the connection. This
-// replaces the page with a JSON error while it is still in the buffer.
-void http_server::impl::OnOutputChanged(evbuffer* output,
-                                        const evbuffer_cb_info* change,
-                                        void* self) {
-  auto* connection = static_cast<server_connection*>(self);
-  if (connection->writing_response || change->n_added == 0) {
-    return;
-  }
-  const std::string error_page = CopyBuffer(output);
-  if (error_page.size() < kStatusLinePrefixBytes ||
-      error_page[kStatusCodeOffset] != '4') {
-    return;
-  }
-  const auto header_end = error_page.find("\r\n\r\n");
-  if (header_end == std::string::npos) {
-    return;
-  }
-  connection->refused = true;
-  const bool is_malformed =
-      !connection->framing.empty() &&
-      connection->framing.front().found == message_framing::fault::kMalformed;
-  const int status = std::stoi(error_page.substr(
-      kStatusCodeOffset, kStatusLinePrefixBytes - kStatusCodeOffset));
-  const std::string error_response =
-      MakeRejectionText(is_malformed ? HTTP_BADREQUEST : status);
-  connection->writing_response = true;
-  evbuffer_drain(output, error_page.size());
-  evbuffer_add(output, error_response.data(), error_response.size());
-  connection->writing_response = false;
-}
-
 void http_server::impl::OnInputChanged(evbuffer* input,
                                        const evbuffer_cb_info* change,
                                        void* self) {
@@ -263,41 +174,6 @@
   static_cast<impl*>(self)->DispatchRequest(evreq);
 }
 
-std::optional<http_response> http_server::impl::CheckLimits(
-    const http_request& request) const {
-  if (request.body.size() > options.max_body_bytes) {
-    return MakeErrorResponse(413, verdict::kNotRun, reason_code::kBadRequest);
-  }
-  std::size_t header_bytes = 0;
-  for (const auto& header : request.headers) {
-    header_bytes += header.name.size() + header.value.size() + 4;
-  }
-  if (header_bytes > options.max_header_bytes) {
-    return MakeErrorResponse(431, verdict::kNotRun, reason_code::kBadRequest);
-  }
-  return std::nullopt;
-}
-
-// The connection is closed, as the bytes that follow cannot be delimited.
-std::optional<http_response> http_server::impl::CheckFraming(
-    const message_framing::message& framed,
-    const http_request& request) {
-  const auto reject = [](int status) {
-    http_response response =
-        MakeErrorResponse(status, verdict::kNotRun, reason_code::kBadRequest);
-    response.headers.push_back({"Connection", "close"});
-    return response;
-  };
-  if (framed.found != message_framing::fault::kNone || !framed.complete ||
-      framed.body_bytes != request.body.size()) {
-    return reject(HTTP_BADREQUEST);
-  }
-  if (framed.method != request.method) {
-    return reject(HTTP_BADMETHOD);
-  }
-  return std::nullopt;
-}
-
 void http_server::impl::DispatchRequest(evhttp_request* evreq) {
   evhttp_connection* evcon = evhttp_request_get_connection(evreq);
   const auto found = connections.find(evcon);
@@ -329,16 +205,10 @@
   // evhttp adds the trailers of a chunked body to the headers.
   request.headers.resize(std::min(request.headers.size(), framed.headers));
   request.body = CopyBuffer(evhttp_request_get_input_buffer(evreq));
-  char* peer_ip = nullptr;
-  ev_uint16_t peer_port = 0;
-  evhttp_connection_get_peer(evcon, &peer_ip, &peer_port);
-  request.peer_ip = peer_ip == nullptr ? "" : peer_ip;
+  request.peer_ip = PeerIp(evcon);
 
-  if (const auto rejection = CheckFraming(framed, request)) {
-    responder->SendResponse(*rejection, std::nullopt);
-    return;
-  }
-  if (const auto rejection = CheckLimits(request)) {
+  if (const auto rejection = CheckRequest(framed, request)) {
+    ReportRejection(evcon, rejection->status);
     responder->SendResponse(*rejection, std::nullopt);
     return;
   }
@@ -440,4 +310,9 @@
   impl_->on_closed = std::move(task);
 }
 
+void http_server::OnRejected(
+    std::function<void(const rejected_request&)> task) {
+  impl_->on_rejected = std::move(task);
+}
+
 }  // namespace trefoilmill
--- a/src/libtmnet/http_server_impl.h
+++ b/src/libtmnet/http_server_impl.h
@@ -32,6 +32,7 @@
   std::shared_ptr<server_state> state = std::make_shared<server_state>();
   std::function<bool()> accept_filter;
   std::function<void()> on_closed;
+  std::function<void(const rejected_request&)> on_rejected;
   /// Posted tasks hold a weak pointer to it and do nothing if it has expired.
   std::shared_ptr<impl*> liveness_token;
 
@@ -62,18 +63,19 @@
   /// in any case.
   void StopAccepting(time_point give_up_at);
   void DispatchRequest(evhttp_request* evreq);
-  /// Why the request that evhttp has read is not handled, if its bytes say
-  /// something else.
-  static std::optional<http_response> CheckFraming(
+  /// The response to a request that evhttp has read, if it is rejected:
+  /// because its bytes say something else, or it is larger than allowed.
+  std::optional<http_response> CheckRequest(
       const message_framing::message& framed,
-      const http_request& request);
+      const http_request& request) const;
+  /// Calls `on_rejected` for a request of this connection.
+  void ReportRejection(evhttp_connection* evcon, int status) const;
   /// Posts RejectMalformed(): the bytes of the next request are malformed.
   void PostRejection(evhttp_connection* evcon);
   /// Rejects the next request of a connection, unless evhttp has read it as one
   /// meanwhile: it may wait for bytes that never come. Closes the connection.
   void RejectMalformed(evhttp_connection* evcon, std::uint64_t id);
   void ApplyLimits();
-  std::optional<http_response> CheckLimits(const http_request& request) const;
 };
 
 }  // namespace trefoilmill
--- a/src/libtmnet/metrics_table.cc
+++ b/src/libtmnet/metrics_table.cc
@@ -249,6 +249,13 @@
        "large organisations are told apart; the rest are counted as other.",
        {"organisation", "outcome"},
        {}},
+      {metric::kRejectedRequests,
+       kCounter,
+       "trefoilmill_rejected_requests_total",
+       "Requests that were malformed or too large and reached no handler, by "
+       "the address that they came to and the status of the response.",
+       {"address", "status"},
+       {}},
       {metric::kCallerRequestDuration,
        kHistogram,
        "trefoilmill_caller_request_duration_seconds",
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -13,6 +13,7 @@
 #include "trefoilmill/wire/copy_codec.h"
 #include "trefoilmill/wire/entry_settings_codec.h"
 #include "trefoilmill/wire/log_messages.h"
+#include "trefoilmill_entry/rejected_requests.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -169,6 +170,7 @@
     return peers.error();
   }
   process->peers_ = std::move(peers.value());
+  ReportRejections(process->peers_->server(), "peers", process->telemetry_);
   process->requests_->OnPermitsNeeded(
       [self] { self->peers_->quotas().SendWants(); });
   process->requests_->SetForwardingPeers(process->peers_->ForwardingPeers());
@@ -221,7 +223,13 @@
           [this](const http_request& request, const http_responder& responder) {
             OnDirectoryRequest(request, responder);
           }));
-  return listening.has_value() ? ListenForMetrics() : listening;
+  if (!listening.has_value()) {
+    return listening;
+  }
+  ReportRejections(*caller_server_, "callers", telemetry_);
+  ReportRejections(*readiness_server_, "readiness", telemetry_);
+  ReportRejections(*directory_server_, "directory", telemetry_);
+  return ListenForMetrics();
 }
 
 result<void> entry_process::ListenForMetrics() {
