A loss of all endpoints blames no request; warnings of silent ones are not dropped

Cause 1: a request that came again within 0.5 s of a loss of all endpoints counted as sent to live ones, and its strikes, 0.2 s apart, as two events: quarantine for an hour. Ruled out: two real ends, as all endpoints went at 5.0 s and the strikes were 5.020 and 5.228. Now a strike wants a response of any endpoint around the time of the send, and an event lasts 0.2 s.

Cause 2: a host that had heard of no endpoint in the last 0.1 s dropped its warning of a silent request; a host with one request a second always did. Ruled out: slow news, as no host held the request suspect. Now the warning waits, a sign of life is asked for, and a long silence since the send still warns nobody.

Unit tests pass.

--- a/src/include/trefoilmill/process/endpoint_reach.h
+++ b/src/include/trefoilmill/process/endpoint_reach.h
@@ -51,8 +51,10 @@
   /// Whether new connections to several endpoints fail; those that are open may
   /// go on.
   bool is_impaired() const;
+  /// Someone has to know whether any endpoint is reached now.
+  void RequestSignOfLife() { sign_of_life_requested_ = true; }
   /// Whether endpoints should be asked for a sign of life: this host is cut
-  /// off, or may be and has too few requests to tell.
+  /// off, or may be and has too few requests to tell, or one was requested.
   bool ShouldProbe(time_point now) const;
   /// Number of endpoints that have not responded since any last did.
   std::size_t unanswered() const { return unanswered_.size(); }
@@ -65,6 +67,8 @@
 
   std::size_t known_ = 0;
   bool is_cut_off_ = false;
+  /// And none has responded since.
+  bool sign_of_life_requested_ = false;
   /// Endpoints without a response since any of them last responded, and since
   /// when there are any.
   std::set<endpoint_id> unanswered_;
--- a/src/include/trefoilmill/process/request_quarantine.h
+++ b/src/include/trefoilmill/process/request_quarantine.h
@@ -101,6 +101,8 @@
   /// News to pass on to other hosts, at most `most`; each is returned a few
   /// times.
   std::vector<quarantine_report> TakeNews(time_point now, std::size_t most);
+  /// Whether TakeNews() would return any.
+  bool has_news() const;
   /// At most `most` records, those with most strikes first.
   std::vector<quarantine_report> Reports(time_point now,
                                          std::size_t most) const;
--- a/src/include/trefoilmill/request/request_caution.h
+++ b/src/include/trefoilmill/request/request_caution.h
@@ -43,6 +43,9 @@
   silence_warning NextWarning(std::size_t possible_attempts,
                               bool has_strikes) const;
   void OnWarned(silence_warning given) { warned_ = given; }
+  /// The next warning cannot be given yet.
+  void PostponeWarning(time_point until) { postponed_until_ = until; }
+  time_point postponed_until() const { return postponed_until_; }
   silence_warning warned() const { return warned_; }
   /// How long a request is silent until others are warned, by the latency that
   /// is expected of it.
@@ -54,6 +57,7 @@
   std::size_t unanswered_ = 0;
   std::size_t unanswered_alone_ = 0;
   silence_warning warned_ = silence_warning::kNone;
+  time_point postponed_until_;
 };
 
 }  // namespace trefoilmill
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -275,6 +275,8 @@
   /// What other hosts are told of it for want of any reply, and when.
   struct due_warning {
     silence_warning what = silence_warning::kNone;
+    /// When the first or last send in progress was made.
+    time_point silent_since;
     time_point at;
   };
   std::optional<due_warning> NextWarning(
--- a/src/libtrefoilmill/process/endpoint_reach.cc
+++ b/src/libtrefoilmill/process/endpoint_reach.cc
@@ -32,6 +32,7 @@
   unanswered_.clear();
   unanswered_since_.reset();
   lost_.clear();
+  sign_of_life_requested_ = false;
   if (!is_cut_off_) {
     return;
   }
@@ -102,7 +103,7 @@
 }
 
 bool endpoint_reach::ShouldProbe(time_point now) const {
-  if (is_cut_off_) {
+  if (is_cut_off_ || sign_of_life_requested_) {
     return true;
   }
   if (!unanswered_since_.has_value()) {
--- a/src/libtrefoilmill/process/request_quarantine.cc
+++ b/src/libtrefoilmill/process/request_quarantine.cc
@@ -16,8 +16,10 @@
 /// quarantine.
 constexpr std::size_t kStrikesToQuarantine = 3;
 constexpr std::size_t kEventsToQuarantine = 2;
-/// An event's strikes follow its first one within this time.
-constexpr duration kSameEvent = std::chrono::milliseconds(100);
+/// An event's strikes follow its first one within this time. Requests that were
+/// sent up to 0.1 s after a loss of all endpoints may be blamed for it, beside
+/// those that were in flight.
+constexpr duration kSameEvent = std::chrono::milliseconds(200);
 /// The latest events, and the strikes of each, that are kept: as many as it
 /// takes to be in quarantine.
 constexpr std::size_t kMaxEvents = 3;
@@ -331,6 +333,11 @@
   return news;
 }
 
+bool request_quarantine::has_news() const {
+  return std::ranges::any_of(
+      records_, [](const auto& entry) { return entry.second.news_left > 0; });
+}
+
 std::vector<quarantine_report> request_quarantine::Reports(
     time_point now,
     std::size_t most) const {
--- a/src/libtrefoilmill/process/request_quarantine_test.cc
+++ b/src/libtrefoilmill/process/request_quarantine_test.cc
@@ -88,6 +88,15 @@
   BOOST_TEST((host.StandingOf(now, fatal) == request_standing::kSuspect));
 }
 
+// The end of a silent endpoint is dated to when the request was sent to it,
+// which may be shortly before the loss or after it.
+BOOST_AUTO_TEST_CASE(is_not_quarantined_for_a_loss_that_seems_to_last) {
+  for (int endpoint = 0; endpoint < 30; ++endpoint) {
+    Strike(host, fatal, endpoint, now + milliseconds(6 * endpoint));
+  }
+  BOOST_TEST((host.StandingOf(now, fatal) == request_standing::kSuspect));
+}
+
 // A sweep over all shards ends many endpoints the first time, and one more when
 // it comes again.
 BOOST_AUTO_TEST_CASE(is_quarantined_for_two_events_that_ended_three) {
--- a/src/libtrefoilmill/request/request_run_caution.cc
+++ b/src/libtrefoilmill/request/request_run_caution.cc
@@ -13,6 +13,8 @@
 /// A host whose links are whole hears of some endpoint in this time, as long as
 /// requests are in progress.
 constexpr duration kHeardOfEndpoints = std::chrono::milliseconds(100);
+/// After this time it is looked again whether that is so.
+constexpr duration kWarningPostponement = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -100,10 +102,13 @@
     return std::nullopt;
   }
   const auto [first, last] = std::ranges::minmax(sent);
-  return due_warning{
-      .what = what,
-      .at = (what == silence_warning::kSuspect ? first : last) +
-            request_caution::WarningDelay(ExpectedLatency(shared, *route_))};
+  const time_point silent_since =
+      what == silence_warning::kSuspect ? first : last;
+  const time_point due = silent_since + request_caution::WarningDelay(
+                                            ExpectedLatency(shared, *route_));
+  return due_warning{.what = what,
+                     .silent_since = silent_since,
+                     .at = std::max(due, caution_.postponed_until())};
 }
 
 void request_run::WarnOfSilence(time_point now, shared_request_state& shared) {
@@ -111,10 +116,15 @@
   if (finished_ || !warning.has_value() || warning->at > now) {
     return;
   }
+  // A host that hears of no endpoint may have lost its links. If it hears of
+  // one after a long silence, it had.
+  if (!shared.responses.AnyAfter(now - kHeardOfEndpoints)) {
+    shared.selector.reach().RequestSignOfLife();
+    caution_.PostponeWarning(now + kWarningPostponement);
+    return;
+  }
   caution_.OnWarned(warning->what);
-  // A host that hears of no endpoint may have lost its links, and warns of
-  // none.
-  if (shared.responses.AnyAfter(now - kHeardOfEndpoints)) {
+  if (!shared.responses.WasSilent(warning->silent_since)) {
     counts_.warned = warning->what;
     shared.quarantine.OnSuspected(now, *identity_,
                                   warning->what == silence_warning::kRefuse);
@@ -151,6 +161,7 @@
                         .lost_at = now};
   const bool was_up =
       shared.responses.WasUp(lost.sent, lost.endpoint) &&
+      shared.responses.AnyAround(lost.sent) &&
       !endpoint_selector::IsLate(lost.sent, lost.oldest_at_endpoint,
                                  ExpectedLatency(shared, *route_));
   if (was_up && lost.unanswered) {
--- a/src/libtrefoilmill/request/request_run_caution_test.cc
+++ b/src/libtrefoilmill/request/request_run_caution_test.cc
@@ -209,6 +209,31 @@
               request_standing::kClear));
 }
 
+// A host with few requests rarely hears of endpoints by itself.
+BOOST_FIXTURE_TEST_CASE(a_silent_sweep_is_suspect_once_an_endpoint_responds,
+                        fixture) {
+  StartIdentified("/sweep/1");
+  RunUntil(now + milliseconds(350));
+  BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
+              request_standing::kClear));
+  BOOST_TEST(shared.selector.reach().ShouldProbe(now));
+  shared.responses.OnResponse(now, Endpoint(0, 2));
+  RunUntil(now + milliseconds(60));
+  BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
+              request_standing::kSuspect));
+}
+
+// The host's links were silent, and are whole again.
+BOOST_FIXTURE_TEST_CASE(no_sweep_is_suspect_after_a_long_silence, fixture) {
+  shared.responses.OnResponse(now, Endpoint(0, 2));
+  StartIdentified("/sweep/1");
+  RunUntil(now + milliseconds(700));
+  shared.responses.OnResponse(now, Endpoint(0, 2));
+  RunUntil(now + milliseconds(60));
+  BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
+              request_standing::kClear));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_suspect_goes_to_an_endpoint_that_is_up_first,
                         fixture) {
   BecomeSuspect();
--- a/src/trefoilmill_entry/quarantine_sync.h
+++ b/src/trefoilmill_entry/quarantine_sync.h
@@ -49,6 +49,9 @@
   void RunHousekeeping();
 
  private:
+  /// Sends what arrived soon, so that it reaches all hosts in a few tens of
+  /// milliseconds: callers return within that time.
+  void ScheduleNews();
   void SendAll(const host_id& to);
   void CompareWithOneHost();
   /// Writes records that no host has stored yet, if it is this host's turn.
@@ -68,6 +71,9 @@
   std::mt19937_64 random_;
   /// Since when each record waits to be stored, or was last tried.
   std::map<request_fingerprint, time_point> unstored_since_;
+  timer news_timer_;
+  bool news_scheduled_ = false;
+  time_point news_sent_;
   int runs_ = 0;
   int initial_comparisons_ = 0;
 };
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -361,10 +361,17 @@
                                 const request_run::wake& action) {
   active.wake_timer = loop_.RunAfter(action.at - loop_.Now(), [this, number] {
     const auto found = active_requests_.find(number);
-    if (found != active_requests_.end()) {
-      RunActions(number, found->second->run.Tick(loop_.Now(), shared_state_));
-      EraseIfFinished(number);
+    if (found == active_requests_.end()) {
+      return;
+    }
+    request_run& run = found->second->run;
+    const silence_warning warned = run.counts().warned;
+    const request_run::actions next = run.Tick(loop_.Now(), shared_state_);
+    if (run.counts().warned != warned) {
+      on_warned_();
     }
+    RunActions(number, next);
+    EraseIfFinished(number);
   });
 }
 
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -73,6 +73,10 @@
     on_endpoint_leaving_ = std::move(callback);
   }
 
+  /// Sets what is called when other hosts are to be warned of a request.
+  void OnWarned(std::function<void()> callback) {
+    on_warned_ = std::move(callback);
+  }
   /// Sets what is called when an attempt ended without a reply.
   void OnReplyLost(std::function<void()> callback) {
     on_reply_lost_ = std::move(callback);
@@ -218,6 +222,7 @@
   request_forwarder forwarder_;
   std::function<void(const endpoint_id&)> on_endpoint_leaving_;
   std::function<void()> on_reply_lost_;
+  std::function<void()> on_warned_;
   std::function<void()> on_permits_needed_;
   /// In order of arrival.
   std::vector<waiting_request> waiting_;
