A request with strikes that falls silent once more is refused for a moment

Cause: one with strikes goes to no second endpoint after a late reply, and others were warned of it only after two. Ruled out by a trace: lost news (all hosts held it suspect) and forgotten strikes (two all the while).

Change: request_caution warns with kRefuse as soon as it stops.

--- a/src/libtrefoilmill/request/request_caution.cc
+++ b/src/libtrefoilmill/request/request_caution.cc
@@ -35,20 +35,17 @@
 
 silence_warning request_caution::NextWarning(std::size_t possible_attempts,
                                              bool has_strikes) const {
-  switch (warned_) {
-    case silence_warning::kNone:
-      // A single late reply says little where a second endpoint may be tried.
-      return unanswered_ >= std::min(possible_attempts, kUnansweredToCaution) &&
-                     has_unanswered()
-                 ? silence_warning::kSuspect
-                 : silence_warning::kNone;
-    case silence_warning::kSuspect:
-      return MustStop(has_strikes) ? silence_warning::kRefuse
-                                   : silence_warning::kNone;
-    case silence_warning::kRefuse:
-      return silence_warning::kNone;
+  // A single late reply says little where a second endpoint may be tried.
+  const bool is_silent =
+      has_unanswered() &&
+      unanswered_ >= std::min(possible_attempts, kUnansweredToCaution);
+  if (warned_ == silence_warning::kNone && is_silent) {
+    return silence_warning::kSuspect;
   }
-  return silence_warning::kNone;
+  // One with strikes goes to no second endpoint after a late one.
+  return warned_ != silence_warning::kRefuse && MustStop(has_strikes)
+             ? silence_warning::kRefuse
+             : silence_warning::kNone;
 }
 
 duration request_caution::WarningDelay(duration expected) {
--- a/src/libtrefoilmill/request/request_caution_test.cc
+++ b/src/libtrefoilmill/request/request_caution_test.cc
@@ -51,6 +51,15 @@
   BOOST_TEST((caution.NextWarning(2, true) == silence_warning::kNone));
 }
 
+// It stops after one late reply: without a warning each copy would run.
+BOOST_AUTO_TEST_CASE(others_are_warned_of_one_with_strikes_that_stops) {
+  request_caution caution;
+  caution.SetSuspect(true);
+  caution.OnUnanswered(/*sent_alone=*/true);
+  BOOST_TEST((caution.NextWarning(2, false) == silence_warning::kNone));
+  BOOST_TEST((caution.NextWarning(2, true) == silence_warning::kRefuse));
+}
+
 BOOST_AUTO_TEST_CASE(the_warning_waits_for_the_expected_latency) {
   BOOST_TEST(
       (request_caution::WarningDelay(milliseconds(1)) == milliseconds(200)));
