--- a/src/libtrefoilmill/process/request_quarantine.cc
+++ b/src/libtrefoilmill/process/request_quarantine.cc
@@ -363,29 +363,6 @@
   return digest;
 }
 
-std::vector<request_fingerprint> request_quarantine::Unstored(
-    time_point now,
-    std::optional<store_era> era) const {
-  std::vector<request_fingerprint> unstored;
-  for (const auto& [request, r] : records_) {
-    const bool is_stored = r.stored_in.has_value() && r.stored_in >= era;
-    if (r.IsQuarantined(now) && !is_stored) {
-      unstored.push_back(request);
-    }
-  }
-  return unstored;
-}
-
-std::optional<quarantine_report> request_quarantine::ReportOf(
-    time_point now,
-    request_fingerprint request) const {
-  const auto found = records_.find(request);
-  if (found == records_.end()) {
-    return std::nullopt;
-  }
-  return MakeReport(now, request, found->second);
-}
-
 void request_quarantine::OnStored(request_fingerprint request, store_era era) {
   const auto found = records_.find(request);
   if (found != records_.end() && found->second.stored_in < era) {
@@ -394,27 +371,12 @@
   }
 }
 
-std::vector<request_fingerprint> request_quarantine::TakeClearedStored() {
-  return std::exchange(cleared_stored_, {});
-}
-
 std::size_t request_quarantine::quarantined(time_point now) const {
   return static_cast<std::size_t>(std::ranges::count_if(
       records_,
       [now](const auto& entry) { return entry.second.IsQuarantined(now); }));
 }
 
-std::size_t StoreRank(request_fingerprint request,
-                      const host_id& self,
-                      const std::vector<host_id>& others) {
-  const auto score = [request](const host_id& host) {
-    return RendezvousScore(request.value(), HashName(host.value()));
-  };
-  return static_cast<std::size_t>(std::ranges::count_if(
-      others,
-      [&](const host_id& other) { return score(other) > score(self); }));
-}
-
 bool IsOutdated(const quarantine_report& report) {
   return std::ranges::all_of(report.strikes, [](const strike_report& strike) {
     return strike.age > kSuspectMemory;
