--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -7,11 +7,13 @@
   set(${out} ${found} PARENT_SCOPE)
 endfunction()
 
-# tm_add_tests(LIBRARIES...): one Boost.Test program per *_test.cc.
+# tm_add_tests(LIBRARIES...): one Boost.Test program per *_test.cc. Those that
+# KNOWN-RED.txt lists get the label known_red.
 function(tm_add_tests)
   if(TREFOILMILL_ENTRY_ONLY)
     return()
   endif()
+  file(READ ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt known_red)
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cc)
   foreach(source ${tests})
     get_filename_component(name ${source} NAME_WE)
@@ -20,6 +22,9 @@
     target_link_libraries(${name} PRIVATE ${ARGN} Boost::unit_test_framework)
     add_test(NAME ${name} COMMAND ${name})
     set_tests_properties(${name} PROPERTIES TIMEOUT 120)
+    if(known_red MATCHES "test: ${name}\n")
+      set_tests_properties(${name} PROPERTIES LABELS known_red)
+    endif()
   endforeach()
 endfunction()
 
