Longer runs of the new tests take their count as an argument, as the others do

The two tests took it from environment variables; rollout_replay_test and others take `-- N`. A doc comment says what the probes are for.

--- a/src/include/trefoilmill/process/endpoint_reach.h
+++ b/src/include/trefoilmill/process/endpoint_reach.h
@@ -51,7 +51,7 @@
   /// Whether new connections to several endpoints fail; those that are open may
   /// go on.
   bool is_impaired() const;
-  /// Someone has to know whether any endpoint is reached now.
+  /// Asks for probes: it matters now whether any endpoint is reached.
   void RequestSignOfLife() { sign_of_life_requested_ = true; }
   /// Whether endpoints should be asked for a sign of life: this host is cut
   /// off, or may be and has too few requests to tell, or one was requested.
--- a/src/libtrefoilmill/request/fatal_requests_fleet_test.h
+++ b/src/libtrefoilmill/request/fatal_requests_fleet_test.h
@@ -6,11 +6,13 @@
 #define TREFOILMILL_LIBTREFOILMILL_REQUEST_FATAL_REQUESTS_FLEET_TEST_H_
 
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <cstdint>
 #include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <ranges>
@@ -612,10 +614,12 @@
   std::size_t served_ = 0;
 };
 
-/// More of them by hand: TREFOILMILL_REPLAY_SEEDS=20.
+/// Seeds to play; more by hand, with `-- 20`.
 inline unsigned LastSeed() {
-  const char* const stated = std::getenv("TREFOILMILL_REPLAY_SEEDS");
-  return stated == nullptr ? 1 : static_cast<unsigned>(std::atoi(stated));
+  const auto& arguments = boost::unit_test::framework::master_test_suite();
+  return arguments.argc > 1
+             ? static_cast<unsigned>(std::atoi(arguments.argv[1]))
+             : 1;
 }
 
 /// Fleets of the users' sizes. In the largest each host has few requests.
--- a/src/trefoilmill_entry/request_relay_fuzz_test.cc
+++ b/src/trefoilmill_entry/request_relay_fuzz_test.cc
@@ -24,7 +24,7 @@
 namespace trefoilmill {
 namespace {
 
-/// A longer run by hand: TREFOILMILL_FUZZ_ROUNDS=100000.
+/// A longer run by hand: `-- 100000`.
 constexpr int kRounds = 1500;
 constexpr std::uint64_t kFirstSeed = 1;
 
@@ -262,8 +262,8 @@
 }
 
 int Rounds() {
-  const char* const stated = std::getenv("TREFOILMILL_FUZZ_ROUNDS");
-  return stated == nullptr ? kRounds : std::atoi(stated);
+  const auto& arguments = boost::unit_test::framework::master_test_suite();
+  return arguments.argc > 1 ? std::atoi(arguments.argv[1]) : kRounds;
 }
 
 }  // namespace
