What reading the diff showed: state and logic in the wrong place

* endpoint_responses had come to keep two kinds of state: silences of all endpoints are in response_silences now, beside it.
A warning was sent at once, each in a message of its own; it is paced like other news, so that many silent requests cost one message each 50 ms.
* The size of headers was summed in two places, and an output buffer unfrozen in two: HeaderBytes and WriteOutput.
* The comment on the fuzz test's relay said one connection a request; it is one for all.

--- a/src/include/trefoilmill/http_message.h
+++ b/src/include/trefoilmill/http_message.h
@@ -2,6 +2,7 @@
 #ifndef TREFOILMILL_HTTP_MESSAGE_H_
 #define TREFOILMILL_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
 /// First header of that name, whatever its case.
 std::optional<std::string> FindHeader(const std::vector<http_header>& headers,
                                       std::string_view name);
+/// Size of the headers on the wire, without the line that ends them.
+std::size_t HeaderBytes(const std::vector<http_header>& headers);
 /// Whether two header names are the same.
 bool SameHeaderName(std::string_view a, std::string_view b);
 
--- a/src/include/trefoilmill/process/shared_request_state.h
+++ b/src/include/trefoilmill/process/shared_request_state.h
@@ -18,6 +18,7 @@
 #include "trefoilmill/process/latency_histogram.h"
 #include "trefoilmill/process/organisation_quotas.h"
 #include "trefoilmill/process/request_quarantine.h"
+#include "trefoilmill/process/response_silences.h"
 #include "trefoilmill/process/rollout_table.h"
 #include "trefoilmill/version/routing_config.h"
 
@@ -42,6 +43,8 @@
   std::optional<time_point> answer_by;
   /// When endpoints responded last.
   endpoint_responses responses{};
+  /// When none responded.
+  response_silences silences{};
   /// Requests under which endpoints have ended.
   request_quarantine quarantine{};
   /// Quotas of organisations.
--- a/src/include/trefoilmill/request/request_run.h
+++ b/src/include/trefoilmill/request/request_run.h
@@ -23,6 +23,7 @@
 #include "trefoilmill/request/request_identity.h"
 #include "trefoilmill/request/request_outcome.h"
 #include "trefoilmill/request/request_shard.h"
+#include "trefoilmill/request/request_summary.h"
 #include "trefoilmill/time.h"
 #include "trefoilmill/verdict.h"
 #include "trefoilmill/version/route_table.h"
@@ -79,24 +80,7 @@
   using actions = std::vector<action>;
   /// @}
 
-  /// Counters for logs and metrics.
-  struct summary {
-    std::size_t shards = 0;
-    /// Shards with a good reply.
-    std::size_t answered = 0;
-    /// Shards for which no endpoint was usable.
-    std::size_t without_endpoint = 0;
-    /// All sends, including hedges and retries.
-    std::size_t sends = 0;
-    std::size_t hedges = 0;
-    std::size_t retries = 0;
-    /// Hedges and retries that the extra-send budget did not allow.
-    std::size_t budget_refusals = 0;
-    /// What other hosts were told of it, as it got no reply.
-    silence_warning warned = silence_warning::kNone;
-    /// Why an attempt or a shard last failed.
-    reason_code last_failure = reason_code::kNone;
-  };
+  using summary = request_summary;
 
   /// `table` is the configuration version used for the whole request; `r` is
   /// one of its routes. `services` are the shards of a gather target, or the
--- a/src/libtmnet/http_common.cc
+++ b/src/libtmnet/http_common.cc
@@ -1,5 +1,6 @@
 #include "http_common.h"
 
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -16,6 +17,9 @@
 
 namespace {
 
+// Which end of a buffer evbuffer_freeze() concerns.
+constexpr int kAtFront = 1;
+
 struct method_entry {
   evhttp_cmd_type type;
   const char* name;
@@ -97,6 +101,16 @@
   return copy;
 }
 
+void WriteOutput(bufferevent* bev) {
+  evbuffer* output = bufferevent_get_output(bev);
+  // A bufferevent keeps its output frozen but while it writes itself.
+  evbuffer_unfreeze(output, kAtFront);
+  while (evbuffer_get_length(output) > 0 &&
+         evbuffer_write(output, bufferevent_getfd(bev)) > 0) {
+  }
+  evbuffer_freeze(output, kAtFront);
+}
+
 void VisitLastBytes(evbuffer* buffer,
                     std::size_t size,
                     const std::function<void(std::string_view)>& visit) {
--- a/src/libtmnet/http_common.h
+++ b/src/libtmnet/http_common.h
@@ -4,6 +4,7 @@
 #define TREFOILMILL_LIBTMNET_HTTP_COMMON_H_
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/util.h>
 
@@ -34,6 +35,10 @@
 /// Copies the content of `buffer` without draining it.
 std::string CopyBuffer(evbuffer* buffer);
 
+/// Writes as much of the output as the socket takes now, without waiting for
+/// the event loop.
+void WriteOutput(bufferevent* bev);
+
 /// Calls `visit` with the last `size` bytes of `buffer`, in one part or
 /// several.
 void VisitLastBytes(evbuffer* buffer,
--- a/src/libtmnet/http_server_closing.cc
+++ b/src/libtmnet/http_server_closing.cc
@@ -15,8 +15,6 @@
 constexpr duration kMaxAcceptDelay = std::chrono::milliseconds(100);
 // How long a new connection is not idle though it has sent nothing yet.
 constexpr duration kFirstRequestTime = std::chrono::milliseconds(100);
-// Which end of a buffer evbuffer_freeze() concerns.
-constexpr int kAtFront = 1;
 
 }  // namespace
 
@@ -63,13 +61,7 @@
 
 void http_server::FlushResponses() {
   for (const auto& [evcon, connection] : impl_->connections) {
-    evbuffer* output = bufferevent_get_output(connection->bev);
-    // A bufferevent keeps its output frozen but while it writes itself.
-    evbuffer_unfreeze(output, kAtFront);
-    while (evbuffer_get_length(output) > 0 &&
-           evbuffer_write(output, bufferevent_getfd(connection->bev)) > 0) {
-    }
-    evbuffer_freeze(output, kAtFront);
+    WriteOutput(connection->bev);
   }
 }
 
--- a/src/libtmnet/http_server_rejection.cc
+++ b/src/libtmnet/http_server_rejection.cc
@@ -21,10 +21,6 @@
 constexpr std::size_t kStatusCodeOffset = 9;
 
 constexpr int kHttpHeadersTooLarge = 431;
-// Between a header's name and value, and after it.
-constexpr std::size_t kHeaderSeparatorBytes = 4;
-// Which end of a buffer evbuffer_freeze() concerns.
-constexpr int kAtFront = 1;
 
 // A response that rejects a request which evhttp does not handle.
 std::string MakeRejectionText(int status) {
@@ -44,12 +40,7 @@
     return MakeErrorResponse(HTTP_ENTITYTOOLARGE, verdict::kNotRun,
                              reason_code::kBadRequest);
   }
-  std::size_t header_bytes = 0;
-  for (const auto& header : request.headers) {
-    header_bytes +=
-        header.name.size() + header.value.size() + kHeaderSeparatorBytes;
-  }
-  if (header_bytes > options.max_header_bytes) {
+  if (HeaderBytes(request.headers) > options.max_header_bytes) {
     return MakeErrorResponse(kHttpHeadersTooLarge, verdict::kNotRun,
                              reason_code::kBadRequest);
   }
@@ -124,9 +115,7 @@
   connection.closed_by_server = true;
   connection.writing_response = true;
   evbuffer_add(output, response.data(), response.size());
-  evbuffer_unfreeze(output, kAtFront);
-  evbuffer_write(output, bufferevent_getfd(connection.bev));
-  evbuffer_freeze(output, kAtFront);
+  WriteOutput(connection.bev);
   connection.writing_response = false;
   // The event loop then detects the end of the connection and frees it.
   shutdown(bufferevent_getfd(connection.bev), SHUT_RDWR);
--- a/src/libtrefoilmill/request/request_run_caution.cc
+++ b/src/libtrefoilmill/request/request_run_caution.cc
@@ -118,13 +118,13 @@
   }
   // A host that hears of no endpoint may have lost its links. If it hears of
   // one after a long silence, it had.
-  if (!shared.responses.AnyAfter(now - kHeardOfEndpoints)) {
+  if (!shared.silences.AnyAfter(now - kHeardOfEndpoints)) {
     shared.selector.reach().RequestSignOfLife();
     caution_.PostponeWarning(now + kWarningPostponement);
     return;
   }
   caution_.OnWarned(warning->what);
-  if (!shared.responses.WasSilent(warning->silent_since)) {
+  if (!shared.silences.WasSilent(warning->silent_since)) {
     counts_.warned = warning->what;
     shared.quarantine.OnSuspected(now, *identity_,
                                   warning->what == silence_warning::kRefuse);
@@ -161,7 +161,7 @@
                         .lost_at = now};
   const bool was_up =
       shared.responses.WasUp(lost.sent, lost.endpoint) &&
-      shared.responses.AnyAround(lost.sent) &&
+      shared.silences.AnyAround(lost.sent) &&
       !endpoint_selector::IsLate(lost.sent, lost.oldest_at_endpoint,
                                  ExpectedLatency(shared, *route_));
   if (was_up && lost.unanswered) {
--- a/src/libtrefoilmill/request/request_run_caution_test.cc
+++ b/src/libtrefoilmill/request/request_run_caution_test.cc
@@ -30,6 +30,10 @@
                                             .lost_at = now});
     now += milliseconds(500);
   }
+  void Respond(const endpoint_id& endpoint) {
+    shared.responses.OnResponse(now, endpoint);
+    shared.silences.OnResponse(now);
+  }
   void LoseReply(std::size_t index) {
     const request_run::send lost = sends[index];
     ReportOutcome(lost, reply_lost{reason_code::kConnectionReset});
@@ -181,7 +185,7 @@
 BOOST_FIXTURE_TEST_CASE(a_sweep_without_any_reply_is_suspect, fixture) {
   StartIdentified("/sweep/1");
   RunUntil(now + milliseconds(190));
-  shared.responses.OnResponse(now, Endpoint(0, 2));
+  Respond(Endpoint(0, 2));
   RunUntil(now + milliseconds(20));
   BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
               request_standing::kSuspect));
@@ -192,7 +196,7 @@
                         fixture) {
   StartIdentified("/sweep/1");
   for (int step = 0; step < 30; ++step) {
-    shared.responses.OnResponse(now, Endpoint(0, 2));
+    Respond(Endpoint(0, 2));
     RunUntil(now + milliseconds(10));
   }
   BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
@@ -217,7 +221,7 @@
   BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
               request_standing::kClear));
   BOOST_TEST(shared.selector.reach().ShouldProbe(now));
-  shared.responses.OnResponse(now, Endpoint(0, 2));
+  Respond(Endpoint(0, 2));
   RunUntil(now + milliseconds(60));
   BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
               request_standing::kSuspect));
@@ -225,10 +229,10 @@
 
 // The host's links were silent, and are whole again.
 BOOST_FIXTURE_TEST_CASE(no_sweep_is_suspect_after_a_long_silence, fixture) {
-  shared.responses.OnResponse(now, Endpoint(0, 2));
+  Respond(Endpoint(0, 2));
   StartIdentified("/sweep/1");
   RunUntil(now + milliseconds(700));
-  shared.responses.OnResponse(now, Endpoint(0, 2));
+  Respond(Endpoint(0, 2));
   RunUntil(now + milliseconds(60));
   BOOST_TEST((shared.quarantine.StandingOf(now, identity) ==
               request_standing::kClear));
@@ -237,7 +241,7 @@
 BOOST_FIXTURE_TEST_CASE(a_suspect_goes_to_an_endpoint_that_is_up_first,
                         fixture) {
   BecomeSuspect();
-  shared.responses.OnResponse(now, Endpoint(7, 1));
+  Respond(Endpoint(7, 1));
   StartIdentified("/sweep/1");
   BOOST_TEST_REQUIRE(sends.size() == 1U);
   BOOST_TEST((sends[0].endpoint == Endpoint(7, 1)));
@@ -247,11 +251,11 @@
 BOOST_FIXTURE_TEST_CASE(nobody_is_blamed_for_the_loss_of_all_endpoints,
                         fixture) {
   for (int replica = 0; replica < kReplicas; ++replica) {
-    shared.responses.OnResponse(now, Endpoint(0, replica));
+    Respond(Endpoint(0, replica));
   }
   now += milliseconds(100);
   for (int attempt = 0; attempt < 4; ++attempt) {
-    shared.responses.OnResponse(now, Endpoint(1, 0));
+    Respond(Endpoint(1, 0));
     sends.clear();
     answer.reset();
     StartIdentified("/read/1");
--- a/src/trefoilmill_entry/connection_pools.cc
+++ b/src/trefoilmill_entry/connection_pools.cc
@@ -5,21 +5,15 @@
 #include <utility>
 
 #include "platform/endpoint_notice.h"
+#include "trefoilmill_entry/connection_pools_impl.h"
 
 namespace trefoilmill::entry {
 namespace {
 
 /// Limit for opening a connection, and the delay after a failed attempt.
 constexpr duration kConnectTimeout = std::chrono::milliseconds(400);
-/// An idle connection is closed this long before the endpoint would close it,
-/// so that no request is sent while the endpoint closes it.
-constexpr duration kIdleMargin = std::chrono::milliseconds(1500);
 /// Limit for the response to a probe. An endpoint may let it wait for a slot.
 constexpr duration kProbeTimeout = std::chrono::milliseconds(500);
-/// Assumed until a reply of the endpoint states its idle timeout.
-constexpr duration kDefaultIdleTimeout = std::chrono::seconds(30);
-/// Idle timeout while this host is on standby.
-constexpr duration kStandbyIdleTimeout = std::chrono::seconds(4);
 /// Largest body of a reply that is accepted: 4 MiB.
 constexpr std::size_t kMaxReplyBytes = 4 << 20;
 /// Bounds of the exponential delay before a connection is opened after the
@@ -29,47 +23,6 @@
 
 }  // namespace
 
-/// One connection of a pool; carries one request at a time.
-struct connection_pools::connection {
-  std::unique_ptr<http_connection> http;
-  bool connecting = true;
-  time_point connect_began;
-  bool busy = false;
-  /// Whether a reply has arrived on it.
-  bool has_replied = false;
-  time_point idle_since;
-  attempt_id attempt;
-  http_connection::result_callback done;
-};
-
-/// The connections to one endpoint.
-struct connection_pools::pool {
-  endpoint_id id;
-  socket_address address;
-  int connection_limit = 1;
-  bool removed = false;
-  /// The endpoint is leaving.
-  bool retired = false;
-  /// How long the endpoint keeps an idle connection open.
-  duration idle_timeout = kDefaultIdleTimeout;
-  /// Sent on the next connection that opens.
-  std::optional<connection_pools::probe> probe;
-  /// No connection is opened before this time.
-  time_point reopen_at;
-  duration reopen_delay{};
-  std::vector<std::unique_ptr<connection>> connections;
-
-  auto FindIdle() {
-    return std::ranges::find_if(connections, [](const auto& c) {
-      return !c->connecting && !c->busy && c->http->connected();
-    });
-  }
-  bool IsConnecting() const {
-    return std::ranges::any_of(connections,
-                               [](const auto& c) { return c->connecting; });
-  }
-};
-
 connection_pools::connection_pools(
     event_loop& loop,
     std::string local_ip,
@@ -97,24 +50,6 @@
   ReportIdleCount(p);
 }
 
-void connection_pools::SetConnectionLimit(const endpoint_id& id,
-                                          int connection_limit) {
-  const auto found = pools_.find(id);
-  if (found != pools_.end()) {
-    found->second->connection_limit = connection_limit;
-  }
-}
-
-void connection_pools::SetStandby(bool standby) {
-  if (standby == standby_) {
-    return;
-  }
-  standby_ = standby;
-  for (auto& p : pools_ | std::views::values) {
-    EnsureIdleConnection(*p);
-  }
-}
-
 void connection_pools::RequestConnection(const endpoint_id& id) {
   const auto found = pools_.find(id);
   if (found != pools_.end()) {
@@ -148,30 +83,6 @@
   return true;
 }
 
-void connection_pools::Retire(const endpoint_id& id) {
-  const auto found = pools_.find(id);
-  if (found == pools_.end() || found->second->retired) {
-    return;
-  }
-  pool& p = *found->second;
-  p.retired = true;
-  CloseIdle(p, [](const connection& /*c*/) { return true; });
-}
-
-void connection_pools::Remove(const endpoint_id& id) {
-  const auto found = pools_.find(id);
-  if (found == pools_.end()) {
-    return;
-  }
-  std::unique_ptr<pool> p = std::move(found->second);
-  pools_.erase(found);
-  p->removed = true;
-  std::erase_if(p->connections, [](const auto& c) { return !c->busy; });
-  if (!p->connections.empty()) {
-    removed_pools_.push_back(std::move(p));
-  }
-}
-
 void connection_pools::Open(pool& p) {
   auto created = std::make_unique<connection>();
   connection& c = *created;
@@ -369,45 +280,4 @@
   Open(p);
 }
 
-void connection_pools::MaintainConnections() {
-  const time_point now = loop_.Now();
-  for (auto& p : pools_ | std::views::values) {
-    const duration longest_idle = p->idle_timeout - kIdleMargin;
-    const bool rarely_used = standby_ || p->retired;
-    const duration idle_limit =
-        rarely_used ? std::min(longest_idle, kStandbyIdleTimeout)
-                    : longest_idle;
-    int open = static_cast<int>(p->connections.size());
-    CloseIdle(*p, [&](const connection& c) {
-      const bool surplus = open > p->connection_limit;
-      const bool closes = now - c.idle_since > idle_limit || surplus;
-      open -= closes ? 1 : 0;
-      return closes;
-    });
-    EnsureIdleConnection(*p);
-  }
-}
-
-void connection_pools::CloseIdle(
-    pool& p,
-    const std::function<bool(const connection&)>& closes) {
-  std::vector<connection*> chosen;
-  for (const auto& c : p.connections) {
-    if (!c->connecting && !c->busy && closes(*c)) {
-      chosen.push_back(c.get());
-    }
-  }
-  for (const connection* c : chosen) {
-    Close(p, *c);
-  }
-}
-
-std::size_t connection_pools::open_connections() const {
-  std::size_t open = 0;
-  for (const auto& p : pools_ | std::views::values) {
-    open += p->connections.size();
-  }
-  return open;
-}
-
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/endpoint_evidence.cc
+++ b/src/trefoilmill_entry/endpoint_evidence.cc
@@ -9,6 +9,7 @@
                     const endpoint_id& endpoint,
                     const http_response& response) {
   shared.selector.reach().OnResponse(now, endpoint);
+  shared.silences.OnResponse(now);
   if (platform::IsFromAnotherInstance(response, endpoint)) {
     shared.selector.crashes().OnInstanceGone(now, endpoint);
     return;
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -123,7 +123,8 @@
       },
       [self] { self->peers_->ShareQuarantineNews(); },
       std::mt19937_64(random()));
-  process->requests_->OnWarned([self] { self->peers_->ShareQuarantineNews(); });
+  process->requests_->OnWarned(
+      [self] { self->peers_->ScheduleQuarantineNews(); });
   process->requests_->OnReplyLost([self] {
     self->crash_checker_->OnReplyLost();
     self->peers_->ShareQuarantineNews();
--- a/src/trefoilmill_entry/peer_gossip.cc
+++ b/src/trefoilmill_entry/peer_gossip.cc
@@ -98,6 +98,10 @@
   quarantine_->SendNews();
 }
 
+void peer_gossip::ScheduleQuarantineNews() {
+  quarantine_->ScheduleNews();
+}
+
 void peer_gossip::OnRolloutOrdersChanged() {
   rollouts_->OnOrdersChanged();
 }
--- a/src/trefoilmill_entry/peer_gossip.h
+++ b/src/trefoilmill_entry/peer_gossip.h
@@ -74,6 +74,8 @@
   void ReportDeparture(const endpoint_departure& departure);
   /// Tells other hosts under which requests endpoints were found to have ended.
   void ShareQuarantineNews();
+  /// The same soon, together with what else there is by then.
+  void ScheduleQuarantineNews();
   /// The part that carries permits of quotas.
   quota_sync& quotas() { return *quotas_; }
   /// The stored orders of roll-outs have changed.
--- a/src/trefoilmill_entry/quarantine_sync.cc
+++ b/src/trefoilmill_entry/quarantine_sync.cc
@@ -21,10 +21,6 @@
 /// Hosts that one host tells its news, each time. With every host passing news
 /// on twice, the chance that one misses it is e^-16.
 constexpr std::size_t kNewsReceivers = 8;
-/// How long news that arrived is collected before it is passed on, and the
-/// least time between two such messages, which bounds what they cost.
-constexpr duration kNewsDelay = std::chrono::milliseconds(5);
-constexpr duration kMinNewsInterval = std::chrono::milliseconds(50);
 /// Records in one datagram, and in all that answer one comparison: those with
 /// most strikes come first.
 constexpr std::size_t kReportsPerMessage = 24;
@@ -83,7 +79,7 @@
   if (news.reports.empty()) {
     return;
   }
-  news_sent_ = loop_.Now();
+  pacing_.OnSent(loop_.Now());
   std::vector<host_record> receivers;
   std::ranges::sample(OtherHosts(), std::back_inserter(receivers),
                       kNewsReceivers, random_);
@@ -91,15 +87,16 @@
 }
 
 void quarantine_sync::ScheduleNews() {
-  if (news_scheduled_ || !shared_state_.quarantine.has_news()) {
+  if (!shared_state_.quarantine.has_news()) {
     return;
   }
-  news_scheduled_ = true;
-  const duration wait = news_sent_ + kMinNewsInterval - loop_.Now();
-  news_timer_ = loop_.RunAfter(std::max(wait, kNewsDelay), [this] {
-    news_scheduled_ = false;
-    SendNews();
-  });
+  const time_point now = loop_.Now();
+  if (const auto due = pacing_.OnNews(now)) {
+    news_timer_ = loop_.RunAfter(*due - now, [this] {
+      pacing_.OnDue();
+      SendNews();
+    });
+  }
 }
 
 void quarantine_sync::CompareWithOneHost() {
--- a/src/trefoilmill_entry/quarantine_sync.h
+++ b/src/trefoilmill_entry/quarantine_sync.h
@@ -15,6 +15,7 @@
 
 #include "trefoilmill/messages.h"
 #include "trefoilmill/net/event_loop.h"
+#include "trefoilmill/process/news_pacing.h"
 #include "trefoilmill/process/shared_request_state.h"
 #include "trefoilmill_entry/fleet_membership.h"
 #include "trefoilmill_entry/peer_datagrams.h"
@@ -44,14 +45,13 @@
   void OnDigest(const host_id& from, const quarantine_digest_message& message);
   /// Sends news to a few other hosts.
   void SendNews();
+  /// The same soon, as news_pacing plans it.
+  void ScheduleNews();
   /// Passes news on, compares records with another host and stores them. To be
   /// called several times a second.
   void RunHousekeeping();
 
  private:
-  /// Sends what arrived soon, so that it reaches all hosts in a few tens of
-  /// milliseconds: callers return within that time.
-  void ScheduleNews();
   void SendAll(const host_id& to);
   void CompareWithOneHost();
   /// Writes records that no host has stored yet, if it is this host's turn.
@@ -71,9 +71,8 @@
   std::mt19937_64 random_;
   /// Since when each record waits to be stored, or was last tried.
   std::map<request_fingerprint, time_point> unstored_since_;
+  news_pacing pacing_;
   timer news_timer_;
-  bool news_scheduled_ = false;
-  time_point news_sent_;
   int runs_ = 0;
   int initial_comparisons_ = 0;
 };
--- a/src/trefoilmill_entry/request_handler_log.cc
+++ b/src/trefoilmill_entry/request_handler_log.cc
@@ -1,7 +1,5 @@
 /// What request_handler logs and counts of requests and their answers.
 #include <algorithm>
-#include <functional>
-#include <numeric>
 #include <ranges>
 #include <string>
 #include <string_view>
@@ -17,8 +15,6 @@
 constexpr std::size_t kMaxLoggedTroubles = 4;
 /// Services that the log line of a request which is handed over names at most.
 constexpr std::size_t kMaxLoggedServices = 4;
-/// Between a header's name and value, and after it.
-constexpr std::size_t kHeaderSeparatorBytes = 4;
 
 /// For example "shelf-3@i-7 budget, shelf-9 no_replica": shard, endpoint tried
 /// last, and why it was not sent again.
@@ -119,11 +115,7 @@
   if (entry == nullptr || entry->record.zone == shared_state_.selector.zone()) {
     return;
   }
-  const std::size_t bytes = std::transform_reduce(
-      headers.begin(), headers.end(), other_bytes, std::plus<>(),
-      [](const http_header& header) {
-        return header.name.size() + header.value.size() + kHeaderSeparatorBytes;
-      });
+  const std::size_t bytes = HeaderBytes(headers) + other_bytes;
   telemetry_.meter->Increment(metric::kCrossZoneBytes, {what},
                               static_cast<double>(bytes));
 }
--- a/src/trefoilmill_entry/request_relay_fuzz_test.cc
+++ b/src/trefoilmill_entry/request_relay_fuzz_test.cc
@@ -180,8 +180,8 @@
   std::size_t at_ = 0;
 };
 
-/// A server whose requests are sent on to one endpoint, each by a connection of
-/// its own, as many as come.
+/// A server whose requests are sent on to one endpoint, by one connection that
+/// stays open: what a request left behind would be read before the next one.
 struct relay {
   std::unique_ptr<event_loop> loop = MakeLoop();
   raw_server endpoint{*loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
