--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,8 @@
-"""LOST: an entry process that is told to stop has read a caller's second request
-on a kept connection, and closes the connection after the answer to the first."""
+"""ROUTE: a version takes the last tenant's keys away, and with them the tenant.
+From then on requests run whose key no configuration ever held."""
 
 import http.server
 import pathlib
-import signal
-import socket
 import sys
 import threading
 import time
@@ -13,15 +11,14 @@
 from fleet import (  # noqa: E402
     HOST_NAME, TROUBLE, Fleet, call, configuration, eventually, free_port, main)
 
-SERVICE = "office-ledger"
-WORK_S = 0.8
-LOSS_SLACK_S = 0.2
-CONTACT_S = 4.0
-GRACE_S = 6
+SERVICE = "dispute-desk"
+HELD, FOREIGN = "key-of-the-house", "key-of-nobody"
+CONFIG_APPLY_S = 5.0
+ASKED = 20
 
 
 class Searcher(http.server.BaseHTTPRequestHandler):
-    """A sound searcher. `server` has its `name` and `record`."""
+    """A sound searcher. `server` has its `name`, `runs` and `record`."""
 
     protocol_version = "HTTP/1.1"
 
@@ -35,11 +32,12 @@
         echo = {"Trefoilmill-Request-Id": identity}
         if self.headers.get("Trefoilmill-Expect-Instance") != server.name:
             return self.reply(421, echo)
-        server.record("run", identity, "by", server.name)
-        time.sleep(WORK_S)
+        server.runs.append(identity)
+        server.record("run", identity, "by", server.name, "for tenant",
+                      self.headers.get("Trefoilmill-Tenant-Id"))
         return self.reply(200, echo | {
             "Trefoilmill-Server-Stamp": f"{server.name}.{identity}"},
-            b"the ledger")
+            b"the invoice")
 
     def reply(self, status, headers, body=b""):
         self.send_response(status)
@@ -53,78 +51,56 @@
         pass
 
 
-def request(identity):
-    return (f"GET /ledger/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-            f"Trefoilmill-Request-Id: {identity}\r\n"
-            "Trefoilmill-Deadline-Ms: 4000\r\n\r\n").encode()
-
-
-def complete_answers(data):
-    """The number of complete answers in the bytes of a connection."""
-    count = 0
-    while (end := data.find(b"\r\n\r\n")) >= 0:
-        head = data[:end].decode("latin1").lower()
-        size = int(head.partition("content-length:")[2].split("\r\n")[0])
-        if len(data) < end + 4 + size:
-            break
-        data = data[end + 4 + size:]
-        count += 1
-    return count
-
-
-def play(fleet, entry, record):
-    """Two requests on one connection, the second sent before the first is
-    answered, and SIGTERM while both wait. Returns the broken rules."""
-    identities = [f"{entry.name}-{n}" for n in (1, 2)]
-    with socket.create_connection((entry.ip, entry.front)) as connection:
-        connection.settimeout(GRACE_S + 2)
-        connection.sendall(request(identities[0]) + request(identities[1]))
-        sent = time.monotonic()
-        record("sent", identities, "to", entry.name)
-        time.sleep(0.2)
-        if TROUBLE:
-            entry.process.send_signal(signal.SIGTERM)
-            record("SIGTERM of", entry.name)
-        data, ended = b"", False
-        while complete_answers(data) < 2 and not ended:
-            part = connection.recv(65536)
-            ended = not part
-            data += part
-        lasted = time.monotonic() - sent
-    answered = complete_answers(data)
-    record("complete answers", answered, "connection",
-           "closed" if ended else "open", f"after {lasted:.3f} s")
-    if answered < 2 and lasted > LOSS_SLACK_S:
-        return [f"LOST {identities[answered]}: closed {lasted:.3f} s after its "
-                "last byte was sent"]
-    return []
-
-
 def case(record):
-    route = {"name": "ledger-pull", "hostname": HOST_NAME,
-             "path_prefix": "/ledger/", "type": "idempotent",
-             "timeout_ms": 4000, "slo_ms": 1500, "priority": 0,
-             "backend": SERVICE, "max_attempts": 2}
-    breaks = []
-    with Fleet(3, configuration(7, [route], [SERVICE]), GRACE_S) as fleet:
+    runs = []
+
+    def ask(entry, identity, key):
+        headers = {"Host": HOST_NAME, "Trefoilmill-Request-Id": identity,
+                   "Trefoilmill-Deadline-Ms": "2000",
+                   "Trefoilmill-Credential": key}
+        record("sent", identity, "with", key, "to", entry.name)
+        status, _, body = call(entry.ip, entry.front, "/invoice/1", headers)
+        record("answered", identity, status, body)
+        return status
+
+    def version(number, tenants):
+        route = {"name": "invoice-fetch", "hostname": HOST_NAME,
+                 "path_prefix": "/invoice/", "type": "idempotent",
+                 "timeout_ms": 2000, "slo_ms": 800, "priority": 0,
+                 "backend": SERVICE, "max_attempts": 2, "public": False}
+        return configuration(number, [route], [SERVICE], tenants=tenants)
+
+    house = {"name": "house", "api_keys": [HELD], "priority": 0,
+             "rate_per_s": 0, "burst": 0}
+    with Fleet(3, version(7, [house])) as fleet:
         for number in range(3):
             ip = f"{fleet.network}.2.{number + 1}"
             server = http.server.ThreadingHTTPServer((ip, free_port(ip)),
                                                      Searcher)
             server.daemon_threads = True
-            server.name, server.record = f"i-{number:04x}", record
+            server.name, server.runs, server.record = (
+                f"i-{number:04x}", runs, record)
             threading.Thread(target=server.serve_forever, daemon=True).start()
             fleet.register(server.name, SERVICE, f"{ip}:{server.server_port}", 4)
         fleet.start()
-        eventually("all serve", lambda: all(call(
-            e.ip, e.front, "/ledger/1", {
-                "Host": HOST_NAME, "Trefoilmill-Request-Id": f"before-{e.name}",
-                "Trefoilmill-Deadline-Ms": "4000"})[0] == 200
-            for e in fleet.entries))
-        time.sleep(CONTACT_S)
+        eventually("the key is taken", lambda: all(
+            ask(e, f"before-{e.name}", HELD) == 200 for e in fleet.entries))
         for entry in fleet.entries:
-            breaks += play(fleet, entry, record)
-            time.sleep(CONTACT_S)
+            ask(entry, f"before-foreign-{entry.name}", FOREIGN)
+        # The operator takes the last key away: no tenant is left.
+        fleet.store.put("config", "main", version(8, [] if TROUBLE else [house]))
+        record("version 8 acknowledged")
+        time.sleep(2 * CONFIG_APPLY_S)
+        for index in range(ASKED):
+            entry = fleet.entries[index % len(fleet.entries)]
+            ask(entry, f"foreign-{index}", FOREIGN)
+            ask(entry, f"held-{index}", HELD)
+        time.sleep(0.5)
+    breaks = [f"ROUTE {identity} ran; no configuration ever held its key"
+              for identity in runs if "foreign" in identity]
+    if TROUBLE:
+        breaks += [f"CONFIG {identity} ran with a dropped key"
+                   for identity in runs if identity.startswith("held-")]
     return breaks
 
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 python3 -B - scripts/lib/platform_standin.py review/lib-2/fleet.py \
-  review/6/case.py review/7/case.py review/8/case.py <<'PYTHON'
+  review/6/case.py review/8/case.py review/9/case.py <<'PYTHON'
 import pathlib
 import sys
 
