--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -19,6 +19,9 @@
 sys.path.insert(0, str(ROOT / "scripts" / "lib"))
 import platform_standin  # noqa: E402  the project's own store
 
+# http.server looks up the name of its address, which may take long without a network.
+socket.getfqdn = lambda name="": name
+
 PROGRAM = ROOT / "target" / "bin" / "trefoilmill_entry"
 HOST_NAME = "shop.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -28,17 +31,20 @@
     """The case could not be played."""
 
 
-def free_port(ip):
-    """A port that is free for TCP and UDP."""
-    for _ in range(50):
+def free_port(ip, given=set()):
+    """A port that is free for TCP and UDP, is not in the range that the system
+    gives to outgoing connections, and was not given before."""
+    for _ in range(200):
+        port = random.randrange(15000, 30000)
         with socket.socket() as tcp, socket.socket(
                 socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind((ip, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((ip, port))
                 udp.bind((ip, port))
             except OSError:
                 continue
+        if port not in given:
+            given.add(port)
             return port
     raise CannotRun(f"no free port on {ip}")
 
