--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "scripts" / "lib"))
@@ -161,19 +162,21 @@
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000}} | more
 
 
-def main(case, folder):
-    """Runs `case(record)`, which returns the breaks of the rule as texts, and
-    ends with 1, 0 or 2."""
+def main(case, record_file):
+    """Runs `case(record)`, which returns the breaks of the rule as texts. What it
+    records goes to `record_file`. Returns 10 if the rule was broken, 0 if it held, 2
+    if the case could not run; run.sh makes the status of these."""
     # Told to stop, it ends the processes that it started.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    with open(pathlib.Path(folder) / "record.txt", "w") as file:
+    with open(record_file, "w") as file:
         def record(*what):
             print(*what, file=file, flush=True)
 
         record("trouble" if TROUBLE else "no trouble")
         try:
             breaks = case(record)
-        except CannotRun as error:
+        except Exception:  # whatever it is, it is no break of the rule
+            error = traceback.format_exc()
             record("could not run:", error)
             print("could not run:", error)
             return 2
@@ -182,4 +185,4 @@
         summary = f"{len(breaks)} breaks of the rule"
         record(summary)
         print(summary)
-        return 1 if breaks else 0
+        return 10 if breaks else 0
