An empty list of organisations lets no key in

Cause: the model kept only the elements of the list, so that a list that is there and empty was the same as none; the decoder of parts read it as a part without effect.

Ruled out, by the line "configuration in force" of the code before: that the list is lost on its way (changed_parts is 4, it would be 3), and that the version is not in force (it is, at both hosts). No request was forwarded, so no other host let them in. The line has organisations and keys_required now.

Change: the list is optional in routing_config; an empty one is a part of its own; route_table::requires_keys() decides. The bytes between hosts are the same. A request that another host passed on without an organisation is refused as not run where keys are required: a host of the build before takes the empty list for none, and passes no key on.

--- a/src/include/trefoilmill/version/configuration_loader.h
+++ b/src/include/trefoilmill/version/configuration_loader.h
@@ -22,8 +22,13 @@
 /// A part that says nothing to this system.
 struct part_without_effect {};
 
+/// The list of organisations is there and has no element, so that no key is
+/// valid. Without a list callers need no key.
+struct empty_organisation_list {};
+
 /// What one part of a configuration says.
 using configuration_part = std::variant<part_without_effect,
+                                        empty_organisation_list,
                                         config_version,
                                         caller_limits,
                                         shared_route,
--- a/src/include/trefoilmill/version/route_table.h
+++ b/src/include/trefoilmill/version/route_table.h
@@ -50,6 +50,10 @@
   void Remove(const shared_service& removed);
   void SetVersion(config_version version) { version_ = version; }
   void SetCallerLimits(const caller_limits& limits) { callers_ = limits; }
+  /// Whether the version has a list of organisations without any in it.
+  void SetEmptyOrganisationList(bool is_present) {
+    has_empty_organisation_list_ = is_present;
+  }
   /// @}
 
   /// Returns the route of host name `host` whose prefix is the longest match
@@ -62,8 +66,13 @@
   const organisation* FindByKey(std::string_view key) const;
   /// The organisation of that name; nullptr if there is none.
   const organisation* Find(const organisation_id& id) const;
-  /// Whether callers of routes that are not public need a key.
+  /// Whether callers of routes that are not public need a key: the version has
+  /// a list of organisations, be it an empty one.
+  bool requires_keys() const {
+    return has_organisations() || has_empty_organisation_list_;
+  }
   bool has_organisations() const { return organisation_count_ > 0; }
+  std::size_t organisation_count() const { return organisation_count_; }
   /// Copies of all organisations, without their keys.
   std::vector<organisation> OrganisationsWithoutKeys() const;
 
@@ -92,6 +101,7 @@
   caller_limits callers_;
   std::size_t route_count_ = 0;
   std::size_t organisation_count_ = 0;
+  bool has_empty_organisation_list_ = false;
   /// By host name and prefix.
   shared_buckets<hosted_route> routes_;
   shared_buckets<shared_service> services_;
--- a/src/include/trefoilmill/version/routing_config.h
+++ b/src/include/trefoilmill/version/routing_config.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -109,8 +110,9 @@
   std::vector<route> routes;
   std::map<service_id, service_settings> services;
   caller_limits callers;
-  /// Empty if callers need no keys.
-  std::vector<organisation> organisations;
+  /// Unset if callers need no keys. An empty list lets no caller in, but for
+  /// those of public routes.
+  std::optional<std::vector<organisation>> organisations;
   friend bool operator==(const routing_config&,
                          const routing_config&) = default;
 };
--- a/src/libtrefoilmill/version/configuration_loader.cc
+++ b/src/libtrefoilmill/version/configuration_loader.cc
@@ -25,6 +25,9 @@
   struct visitor {
     configuration_loader& self;
     void operator()(const part_without_effect& /*none*/) const {}
+    void operator()(const empty_organisation_list& /*list*/) const {
+      self.working_table_.SetEmptyOrganisationList(false);
+    }
     void operator()(const config_version& /*version*/) const {
       self.working_version_.reset();
     }
@@ -62,6 +65,10 @@
     result<void> operator()(const part_without_effect& /*none*/) const {
       return outcome::success();
     }
+    result<void> operator()(const empty_organisation_list& /*list*/) const {
+      self.working_table_.SetEmptyOrganisationList(true);
+      return outcome::success();
+    }
     result<void> operator()(const config_version& version) const {
       self.working_version_ = version;
       return outcome::success();
--- a/src/libtrefoilmill/version/route_table.cc
+++ b/src/libtrefoilmill/version/route_table.cc
@@ -106,7 +106,11 @@
     table->Add(std::make_shared<const service_entry>(
         service_entry{.id = id, .settings = std::move(settings)}));
   }
-  for (organisation& o : config.organisations) {
+  if (!config.organisations.has_value()) {
+    return std::shared_ptr<const route_table>(std::move(table));
+  }
+  table->SetEmptyOrganisationList(config.organisations->empty());
+  for (organisation& o : *config.organisations) {
     auto added = table->Add(std::make_shared<const organisation>(std::move(o)));
     if (!added.has_value()) {
       return added.error();
--- a/src/trefoilmill_entry/entry_process_configuration.cc
+++ b/src/trefoilmill_entry/entry_process_configuration.cc
@@ -61,6 +61,9 @@
            {"version",
             static_cast<std::int64_t>(route_table_->version().value())},
            {"routes", static_cast<std::int64_t>(route_table_->route_count())},
+           {"organisations",
+            static_cast<std::int64_t>(route_table_->organisation_count())},
+           {"keys_required", std::int64_t{route_table_->requires_keys()}},
            {"changed_parts", static_cast<std::int64_t>(step.changed_parts)}}});
   telemetry_.meter->Set(metric::kConfigurationVersion,
                         static_cast<double>(route_table_->version().value()));
--- a/src/trefoilmill_entry/request_handler.cc
+++ b/src/trefoilmill_entry/request_handler.cc
@@ -140,23 +140,32 @@
   Run(std::move(*routed), responder);
 }
 
-bool request_handler::Identify(const std::optional<std::string>& key,
-                               const forwarded_mark& mark,
-                               routed_request& routed) {
+std::optional<reason_code> request_handler::Identify(
+    const std::optional<std::string>& key,
+    const forwarded_mark& mark,
+    routed_request& routed) {
+  const bool needs_key =
+      routed.table->requires_keys() && !routed.matched->is_public;
   if (mark.organisation.has_value()) {
+    if (needs_key && mark.organisation->value().empty()) {
+      // The sender's configuration requires no key, or the sender is of a build
+      // that takes an empty list of organisations for a missing one. The key
+      // was not passed on, so that it cannot be checked here.
+      return reason_code::kNotReady;
+    }
     routed.owner_id = *mark.organisation;
     routed.owner = routed.table->Find(routed.owner_id);
-    return true;
+    return std::nullopt;
   }
-  if (!routed.table->has_organisations() || routed.matched->is_public) {
-    return true;
+  if (!needs_key) {
+    return std::nullopt;
   }
   routed.owner = key.has_value() ? routed.table->FindByKey(*key) : nullptr;
   if (routed.owner == nullptr) {
-    return false;
+    return reason_code::kUnauthorized;
   }
   routed.owner_id = routed.owner->id;
-  return true;
+  return std::nullopt;
 }
 
 std::optional<request_handler::routed_request> request_handler::Route(
@@ -187,8 +196,11 @@
       .matched = matched,
       .deadline = loop_.Now() + caller.time_left.value_or(matched->timeout),
       .attempts = mark.attempts.value_or(earlier_attempts())};
-  if (!Identify(caller.key, mark, routed)) {
-    Refuse(responder, caller.id, reason_code::kUnauthorized, {});
+  if (const auto reason = Identify(caller.key, mark, routed)) {
+    const bool may_return = *reason == reason_code::kNotReady;
+    Refuse(responder, caller.id, *reason,
+           may_return ? kNotReadyRetryAfter : duration::zero(),
+           may_return ? "forwarded by a host that checked no key" : "");
     return std::nullopt;
   }
   if (!PriorityOf(routed).IsMostUrgent() &&
--- a/src/trefoilmill_entry/request_handler.h
+++ b/src/trefoilmill_entry/request_handler.h
@@ -126,10 +126,11 @@
                                       const http_responder& responder,
                                       const forwarded_mark& mark = {});
   /// Finds the caller's organisation, by its key or as another host named it.
-  /// Returns whether the caller may use the route.
-  static bool Identify(const std::optional<std::string>& key,
-                       const forwarded_mark& mark,
-                       routed_request& routed);
+  /// Returns why the caller may not use the route, if it may not.
+  static std::optional<reason_code> Identify(
+      const std::optional<std::string>& key,
+      const forwarded_mark& mark,
+      routed_request& routed);
   static request_priority PriorityOf(const routed_request& routed);
   /// Routes and runs a request that is not passed on.
   void RunHere(http_request request,
