--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -86,8 +86,12 @@
         self.log = tempfile.NamedTemporaryFile(
             "w+", prefix=f"{self.name}-", suffix=".log", dir=directory,
             delete=directory is None)
+        # Libraries write there, and start-up errors go there.
+        self.errors = tempfile.NamedTemporaryFile(
+            "w+", prefix=f"{self.name}-", suffix=".errors", dir=directory,
+            delete=directory is None)
         self.process = subprocess.Popen(
-            [BIN / "trefoilmill_entry"], stdout=self.log,
+            [BIN / "trefoilmill_entry"], stdout=self.log, stderr=self.errors,
             env={**os.environ, "TREFOILMILL_CONFIG": file.name})
 
     def holds_signals(self):
--- a/src/include/trefoilmill/entry_settings.h
+++ b/src/include/trefoilmill/entry_settings.h
@@ -2,6 +2,7 @@
 #ifndef TREFOILMILL_ENTRY_SETTINGS_H_
 #define TREFOILMILL_ENTRY_SETTINGS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -36,6 +37,11 @@
   double processor_share = 1;
   /// How many times as fast as a usual core that runs.
   double processor_speed = 1;
+  /// Memory that the process may use, in bytes.
+  std::size_t memory_bytes = 256UL << 20U;
+  /// Descriptors that the process may have open; a lower limit of the operating
+  /// system goes before it.
+  std::size_t max_descriptors = 4096;
   /// From the request to stop until the process is ended by force.
   duration grace = std::chrono::seconds(6);
   /// An endpoint that leaves gets nothing after this long.
--- a/src/libtmwire/entry_settings_codec.cc
+++ b/src/libtmwire/entry_settings_codec.cc
@@ -17,6 +17,9 @@
 constexpr number_range kUnitInterval = {0, 1};
 constexpr number_range kSlacks = {0, 1e9};
 constexpr number_range kProcessors = {0.001, 1000};
+constexpr integer_range kMegabytes = {16, 1'000'000};
+constexpr integer_range kDescriptors = {64, 10'000'000};
+constexpr unsigned kBytesPerMegabyteLog2 = 20;
 constexpr number_range kSeconds = {0.1, 3600};
 constexpr time_range kTimes = {milliseconds(1), milliseconds(3'600'000)};
 
@@ -60,6 +63,14 @@
   }
 }
 
+void ReadMegabytes(object_reader& reader,
+                   const std::string& key,
+                   std::size_t& out) {
+  std::size_t megabytes = out >> kBytesPerMegabyteLog2;
+  reader.Integer(key, kMegabytes, kOptional, megabytes);
+  out = megabytes << kBytesPerMegabyteLog2;
+}
+
 entry_settings ReadSettings(object_reader& reader) {
   entry_settings out;
   reader.Id("host", text_rule::kAny, kRequired, out.host);
@@ -74,6 +85,9 @@
   ReadSeeds(reader, out.seed_ips);
   reader.Number("processor_share", kProcessors, kOptional, out.processor_share);
   reader.Number("processor_speed", kProcessors, kOptional, out.processor_speed);
+  ReadMegabytes(reader, "memory_mb", out.memory_bytes);
+  reader.Integer("max_descriptors", kDescriptors, kOptional,
+                 out.max_descriptors);
   ReadSeconds(reader, "grace_s", out.grace);
   reader.Milliseconds("drain_ms", kTimes, kOptional, out.drain);
   reader.Number("extra_send_ratio", kRatios, kOptional, out.extra_sends.ratio);
--- a/src/libtmwire/entry_settings_codec_test.cc
+++ b/src/libtmwire/entry_settings_codec_test.cc
@@ -17,6 +17,8 @@
   "store": "10.200.1.7:8229",
   "seeds": ["10.1.0.39:8224", "10.2.0.33:8224"],
   "processor_share": 0.25,
+  "memory_mb": 112,
+  "max_descriptors": 2870,
   "grace_s": 6,
   "drain_ms": 3000,
   "extra_send_ratio": 0.2,
@@ -46,6 +48,8 @@
   BOOST_TEST((settings.drain == std::chrono::seconds(3)));
   BOOST_TEST(settings.extra_sends.slack == 54);
   BOOST_TEST(settings.metrics_port == 0);
+  BOOST_TEST(settings.memory_bytes == 112U << 20U);
+  BOOST_TEST(settings.max_descriptors == 2870U);
 }
 
 BOOST_AUTO_TEST_CASE(each_error_has_its_place) {
@@ -59,6 +63,8 @@
        {std::pair{"\"grace_s\": 6", "\"grace_s\": -1"},
         std::pair{"\"grace_s\": 6", "\"graces\": 6"},
         std::pair{"\"processor_share\": 0.25", "\"processor_share\": 0"},
+        std::pair{"\"memory_mb\": 112", "\"memory_mb\": 0"},
+        std::pair{"\"max_descriptors\": 2870", "\"max_descriptors\": -1"},
         std::pair{"\"peer_port\": 7740", "\"peer_port\": 77400"},
         std::pair{"\"10.2.0.33:8224\"", "7"}, std::pair{"{", "["}}) {
     BOOST_TEST(!ParseEntrySettings(With(from, to), "f").value.has_value(), to);
