What connections hold together is bounded

Callers saw: a crowd of clients beyond the limits ended a process, which ran out of memory, or kept it from serving anybody else.

Cause: what one connection may hold was bounded (some 1.15 MB, and up to 2 MB with short header lines), the sum over connections was not. When descriptors ran out, evhttp tried to accept the same connection at once, again and again, with a warning for each. Between two answers each read brought up to 16 KB more of the requests that wait. The declared time for a head was not read.

Short header lines cost more than their bytes, and so do chunks that end a read: 1 KiB for one byte.

Change: connection_budget counts what the connections of a loop hold, and connection_eviction, without I/O, chooses which to close: those that hold most of an unfinished request or of an answer that is not taken, and where there are too many connections the longest without a request. A request in progress is never cut off; a large one does not begin without room (503, not run, Retry-After). Answers of endpoints are in the same sum. Accepting pauses for 100 ms when descriptors run out. header_timeout_ms is in force with twice its value (408). 4 KiB are read ahead of a request in progress, 64 KiB before.

A status 000 is a failure here, before and after; the tables have it now.

--- a/src/include/trefoilmill/net/event_loop.h
+++ b/src/include/trefoilmill/net/event_loop.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 
+#include "trefoilmill/net/connection_budget.h"
 #include "trefoilmill/time.h"
 #include "trefoilmill/verdict.h"
 
@@ -65,6 +66,9 @@
   /// Calls `task` on the loop whenever the process receives `signal_number`.
   void OnSignal(int signal_number, std::function<void()> task);
 
+  /// What the connections of this loop hold together.
+  connection_budget& connections();
+
   /// The underlying libevent base, for code that registers its own events.
   event_base* base() const;
 
--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -72,6 +72,10 @@
   std::size_t max_header_bytes = 16384;
   /// Closes a connection after this time without any read or write.
   duration idle_timeout = std::chrono::seconds(60);
+  /// How long a client may take to send the head of a request. For the whole
+  /// request it has the idle timeout in addition. RejectSlowRequests() checks
+  /// both.
+  duration header_timeout = std::chrono::seconds(10);
 };
 
 /// A request that the server rejected by itself.
@@ -103,12 +107,13 @@
   /// The bound port, also if port 0 (any free port) was requested.
   std::uint16_t port() const;
 
-  /// Replaces these three options. The new values hold for all connections
+  /// Replaces these four options. The new values hold for all connections
   /// accepted from now on; on open connections only some of the checks use
   /// them.
   void SetLimits(std::size_t max_header_bytes,
                  std::size_t max_body_bytes,
-                 duration idle_timeout);
+                 duration idle_timeout,
+                 duration header_timeout);
   /// Adds `Connection: close` to all responses from now on.
   void CloseAfterResponses();
   /// Closes connections that have no request in progress, no part of one
@@ -136,6 +141,12 @@
   /// Sets a filter to call for each new connection; if it returns false, the
   /// connection is closed at once.
   void SetAcceptFilter(std::function<bool()> accept_filter);
+  /// Rejects requests that take too long to arrive with status 408, and closes
+  /// their connections. To be called every second or so.
+  void RejectSlowRequests();
+  /// Sets the task to call when a connection could not be accepted, as there is
+  /// no descriptor left. Accepting goes on after a pause.
+  void OnAcceptFailed(std::function<void()> task);
   /// Sets the task to call whenever a connection has closed.
   void OnConnectionClosed(std::function<void()> task);
   /// Sets the task to call for each request that the server rejects by itself
@@ -186,6 +197,9 @@
     /// body ends when the peer closes the connection. A reset is still a
     /// failure.
     bool accept_close_delimited = false;
+    /// Whether a request may be given up while all connections of the loop hold
+    /// more memory than they may.
+    bool may_give_up_for_memory = false;
     /// Time after which TCP keepalive probes detect that the peer is
     /// unreachable; zero disables the probes.
     duration dead_peer_timeout{};
--- a/src/include/trefoilmill/version/routing_config.h
+++ b/src/include/trefoilmill/version/routing_config.h
@@ -99,6 +99,8 @@
 struct caller_limits {
   std::size_t max_header_bytes = 16384;
   std::size_t max_body_bytes = 262144;
+  /// How long a caller may take to send the head of a request.
+  duration header_timeout = std::chrono::seconds(3);
   /// How long a connection may stay idle.
   duration idle_timeout = std::chrono::seconds(15);
   friend bool operator==(const caller_limits&, const caller_limits&) = default;
--- a/src/include/trefoilmill/wire/log_messages.h
+++ b/src/include/trefoilmill/wire/log_messages.h
@@ -39,6 +39,10 @@
 inline constexpr char kEndpointsShort[] =
     "endpoints are short: organisations get shares";
 inline constexpr char kEndpointsSuffice[] = "endpoints are short no more";
+inline constexpr char kAcceptFailed[] =
+    "connection not accepted: no descriptor left";
+inline constexpr char kConnectionsClosed[] =
+    "connections closed: together they held too much";
 inline constexpr char kRequestRejected[] =
     "request rejected as malformed or too large";
 inline constexpr char kRequestHandedOver[] =
--- a/src/libtmnet/event_loop.cc
+++ b/src/libtmnet/event_loop.cc
@@ -67,6 +67,7 @@
   event_pointer posted_event;
   std::vector<std::function<void()>> posted_tasks;
   std::vector<std::unique_ptr<timer::impl>> signal_handlers;
+  connection_budget connections;
 
   static void RunPosted(evutil_socket_t, short, void* self) {
     // Tasks that these tasks post run when the event next fires.
@@ -175,6 +176,10 @@
   impl_->signal_handlers.push_back(std::move(handler));
 }
 
+connection_budget& event_loop::connections() {
+  return impl_->connections;
+}
+
 event_base* event_loop::base() const {
   return impl_->base.get();
 }
--- a/src/libtmnet/http_connection.cc
+++ b/src/libtmnet/http_connection.cc
@@ -60,6 +60,10 @@
   evhttp_request* placeholder = nullptr;
   // Bytes received since the request in progress was sent.
   std::size_t received_bytes = 0;
+  // Body of the request in progress.
+  std::size_t request_bytes = 0;
+  // What the connection holds, among those of the process.
+  connection_budget::entry use;
   // Follows the bytes of the response, beside evhttp.
   message_framing framing =
       message_framing::ForResponse(kMaxResponseHeaderBytes, false);
@@ -96,6 +100,7 @@
   static void OnEvhttpClosed(evhttp_connection* evcon, void* self);
 
   void Release();
+  void UpdateUse();
   void StartConnect(connect_callback done);
   void HandleConnected();
   void HandleConnectFailed();
@@ -115,6 +120,7 @@
   deadline = timer();
   placeholder = nullptr;
   bev = nullptr;
+  use = connection_budget::entry();
   ++generation;
   if (evhttp_connection* old = std::exchange(evcon, nullptr)) {
     evhttp_connection_set_closecb(old, nullptr, nullptr);
@@ -133,8 +139,19 @@
   });
 }
 
+void http_connection::impl::UpdateUse() {
+  use.SetBytes(request_bytes +
+               MemoryOf(framing.pending(),
+                        evbuffer_get_length(bufferevent_get_input(bev))));
+}
+
 void http_connection::impl::StartConnect(connect_callback done) {
   Release();
+  std::function<void()> give_up;
+  if (opts.may_give_up_for_memory) {
+    give_up = [this] { PostIfCurrent(&impl::HandleMalformed); };
+  }
+  use = loop.connections().AddOutbound(loop.Now(), std::move(give_up));
   current_state = connection_state::kConnecting;
   on_connect_done = std::move(done);
   bev = bufferevent_socket_new(loop.base(), -1, 0);
@@ -217,6 +234,7 @@
   VisitLastBytes(input, change->n_added, [connection](std::string_view bytes) {
     connection->framing.Consume(bytes);
   });
+  connection->UpdateUse();
   if (connection->framing.is_faulty() || connection->received_bytes > limit) {
     connection->PostIfCurrent(&impl::HandleMalformed);
   }
@@ -264,7 +282,10 @@
   ++generation;
   evhttp_failure.reset();
   received_bytes = 0;
+  request_bytes = request.body.size();
   framing.ExpectResponse(request.method == "HEAD");
+  use.SetPhase(loop.Now(), connection_phase::kReceiving);
+  UpdateUse();
   on_request_done = std::move(done);
   deadline = loop.RunAfter(timeout, [this] {
     FinishRequest({.failure_reason = http_failure::kTimeout}, false);
@@ -369,6 +390,9 @@
                                           bool still_open) {
   deadline = timer();
   ++generation;
+  request_bytes = 0;
+  use.SetPhase(loop.Now(), connection_phase::kIdle);
+  use.SetBytes(0);
   current_state =
       still_open ? connection_state::kIdle : connection_state::kClosed;
   if (!still_open) {
--- a/src/libtmnet/http_responder.cc
+++ b/src/libtmnet/http_responder.cc
@@ -13,11 +13,42 @@
 namespace {
 
 // Limit for bytes of pipelined requests that are buffered while a request is in
-// progress.
-constexpr std::size_t kMaxPipelinedBytes = 65536;
+// progress, or while a whole one waits.
+constexpr std::size_t kMaxPipelinedBytes = 4096;
 
 }  // namespace
 
+std::size_t server_connection::PendingBytes() const {
+  return MemoryOf(framing.pending(),
+                  evbuffer_get_length(bufferevent_get_input(bev)));
+}
+
+void server_connection::UpdateUse() {
+  use.SetBytes(PendingBytes() + request_bytes +
+               evbuffer_get_length(bufferevent_get_output(bev)));
+}
+
+bool server_connection::IsInProgress() const {
+  const auto request = current_request.lock();
+  return request != nullptr && !request->completed();
+}
+
+void server_connection::OnAnswerSent() {
+  const bool next_has_begun =
+      evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+  use.SetPhase(loop->Now(), next_has_begun ? connection_phase::kReceiving
+                                           : connection_phase::kIdle);
+  UpdateUse();
+}
+
+void server_connection::UpdateReadLimit() {
+  const bool one_waits = !framing.empty() && framing.front().complete;
+  const bool bounded = one_waits || IsInProgress();
+  if (bounded != std::exchange(read_ahead_bounded, bounded)) {
+    bufferevent_setwatermark(bev, EV_READ, 0, bounded ? kMaxPipelinedBytes : 0);
+  }
+}
+
 http_response MakeErrorResponse(int status,
                                 verdict outcome,
                                 reason_code reason) {
@@ -44,14 +75,14 @@
   bufferevent_getcb(bev, &read_cb, &write_cb, &event_cb, &cb_arg);
   bufferevent_setcb(bev, nullptr, write_cb, event_cb, cb_arg);
   bufferevent_set_timeouts(bev, nullptr, nullptr);
-  bufferevent_setwatermark(bev, EV_READ, 0, kMaxPipelinedBytes);
+  connection->UpdateReadLimit();
   bufferevent_enable(bev, EV_READ);
 }
 
 void http_responder::impl::StopWatchingForClose() {
   bufferevent* bev = connection->bev;
   bufferevent_disable(bev, EV_READ);
-  bufferevent_setwatermark(bev, EV_READ, 0, 0);
+  connection->UpdateReadLimit();
   bufferevent_setcb(bev, read_cb, write_cb, event_cb, cb_arg);
   // A caller that still reads the response sends nothing meanwhile.
   bufferevent_set_timeouts(bev, nullptr, &server->idle_timeout);
@@ -59,9 +90,10 @@
 
 void http_responder::impl::OnResponseWritten(evhttp_request* evreq,
                                              void* self) {
-  const auto* connection = static_cast<server_connection*>(self);
+  auto* connection = static_cast<server_connection*>(self);
   bufferevent* bev =
       evhttp_connection_get_bufferevent(evhttp_request_get_connection(evreq));
+  connection->OnAnswerSent();
   bufferevent_set_timeouts(bev, connection->idle_timeout,
                            connection->idle_timeout);
   if (connection->framing.is_faulty()) {
@@ -105,6 +137,8 @@
       evbuffer_get_length(bufferevent_get_input(connection->bev)) > 0;
   MarkCompleted();
   StopWatchingForClose();
+  connection->request_bytes = 0;
+  connection->use.SetPhase(connection->loop->Now(), connection_phase::kSending);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   for (const auto& header : response.headers) {
     evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
@@ -137,6 +171,7 @@
   connection->writing_response = true;
   evhttp_send_reply(request, response.status, nullptr, nullptr);
   connection->writing_response = false;
+  connection->UpdateUse();
 }
 
 void http_responder::impl::Abort() {
--- a/src/libtmnet/http_responder_impl.h
+++ b/src/libtmnet/http_responder_impl.h
@@ -32,6 +32,7 @@
 /// State of one connection of a server.
 struct server_connection {
   std::uint64_t id = 0;
+  event_loop* loop = nullptr;
   bufferevent* bev = nullptr;
   evhttp_connection* evcon = nullptr;
   /// For how long it may be idle.
@@ -56,6 +57,12 @@
   bool writing_response = false;
   /// Follows the bytes of the requests, beside evhttp.
   message_framing framing;
+  /// What the connection holds, among those of the process.
+  connection_budget::entry use;
+  /// Memory of the request that is in progress, in bytes.
+  std::size_t request_bytes = 0;
+  /// Whether reading ahead is bounded now.
+  bool read_ahead_bounded = false;
   /// Called when the next request may have to be rejected, as its bytes are
   /// malformed.
   std::function<void()> on_malformed;
@@ -65,6 +72,18 @@
   std::weak_ptr<http_responder::impl> current_request;
   /// Called if the connection closes before the latest response is written.
   std::function<void(lost_response)> on_response_lost;
+
+  /// Memory that is held for what was received and not yet handled.
+  std::size_t PendingBytes() const;
+  /// Reports to the budget what the connection holds now.
+  void UpdateUse();
+  /// The answer to the latest request is written to the socket.
+  void OnAnswerSent();
+  /// Whether a request has been handed on that has no answer yet.
+  bool IsInProgress() const;
+  /// Bounds what is read ahead while a request is in progress or a whole one
+  /// waits, so that requests one behind the other are read as they are handled.
+  void UpdateReadLimit();
 };
 
 /// State of one request on the server side.
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -62,6 +62,11 @@
 
 /// Added to the limits of headers and body: what one read may bring.
 constexpr std::size_t kUnparsedReserveBytes = 64 << 10;
+/// How long accepting pauses after it failed.
+constexpr duration kAcceptPause = std::chrono::milliseconds(100);
+constexpr int kHttpServiceUnavailable = 503;
+/// When a caller may return whose request was refused for want of memory.
+constexpr char kNoMemoryRetryAfterSeconds[] = "1";
 
 }  // namespace
 
@@ -97,8 +102,10 @@
   auto* evcon = static_cast<evhttp_connection*>(arg);
   static std::uint64_t last_id = 0;
   auto& connection = connections[evcon];
+  const std::uint64_t id = ++last_id;
   connection = std::make_shared<server_connection>(server_connection{
-      .id = ++last_id,
+      .id = id,
+      .loop = &loop,
       .bev = bev,
       .evcon = evcon,
       .idle_timeout = &state->idle_timeout,
@@ -108,6 +115,8 @@
       .accepted_at = loop.Now(),
       .framing = message_framing::ForRequests(kEvhttpLimitFactor *
                                               options.max_header_bytes),
+      .use = loop.connections().AddInbound(
+          loop.Now(), [this, evcon, id] { PostClose(evcon, id); }),
       .on_malformed = [this, evcon] { PostRejection(evcon); },
       .on_rejected = [this,
                       evcon](int status) { ReportRejection(evcon, status); }});
@@ -131,6 +140,7 @@
                      &impl::OnOutputChanged, connection.get());
   evbuffer_remove_cb(bufferevent_get_input(connection->bev),
                      &impl::OnInputChanged, connection.get());
+  connection->use = connection_budget::entry();
   if (const auto request = connection->current_request.lock()) {
     request->HandleConnectionClosed();
   }
@@ -148,10 +158,16 @@
 void http_server::impl::OnInputChanged(evbuffer* input,
                                        const evbuffer_cb_info* change,
                                        void* self) {
+  auto* connection = static_cast<server_connection*>(self);
   if (change->n_added == 0) {
+    connection->UpdateUse();
     return;
   }
-  auto* connection = static_cast<server_connection*>(self);
+  const connection_phase phase = connection->use.phase();
+  if (phase == connection_phase::kUnused || phase == connection_phase::kIdle) {
+    connection->use.SetPhase(connection->loop->Now(),
+                             connection_phase::kReceiving);
+  }
   connection->request_begun = true;
   VisitLastBytes(input, change->n_added, [connection](std::string_view bytes) {
     connection->framing.Consume(bytes);
@@ -159,6 +175,8 @@
   if (connection->framing.is_faulty()) {
     connection->on_malformed();
   }
+  connection->UpdateReadLimit();
+  connection->UpdateUse();
   // The rest of a request that is too large comes in while its refusal is
   // written.
   const bool is_ending = connection->refused || connection->closed_by_server;
@@ -204,7 +222,9 @@
   request.headers = CopyHeaders(evhttp_request_get_input_headers(evreq));
   // evhttp adds the trailers of a chunked body to the headers.
   request.headers.resize(std::min(request.headers.size(), framed.headers));
-  request.body = CopyBuffer(evhttp_request_get_input_buffer(evreq));
+  evbuffer* body = evhttp_request_get_input_buffer(evreq);
+  request.body = CopyBuffer(body);
+  evbuffer_drain(body, request.body.size());
   request.peer_ip = PeerIp(evcon);
 
   if (const auto rejection = CheckRequest(framed, request)) {
@@ -212,9 +232,74 @@
     responder->SendResponse(*rejection, std::nullopt);
     return;
   }
+  const std::size_t bytes = BytesOf(framed);
+  if (!loop.connections().MayStartRequest(bytes)) {
+    ReportRejection(evcon, kHttpServiceUnavailable);
+    http_response refusal = MakeErrorResponse(
+        kHttpServiceUnavailable, verdict::kNotRun, reason_code::kOverloaded);
+    refusal.headers.push_back({"Retry-After", kNoMemoryRetryAfterSeconds});
+    responder->SendResponse(refusal, std::nullopt);
+    return;
+  }
+  found->second->request_bytes = bytes;
+  found->second->use.SetPhase(loop.Now(), connection_phase::kInProgress);
+  found->second->UpdateUse();
   on_request(std::move(request), http_responder(std::move(responder)));
 }
 
+std::size_t http_server::impl::BytesOf(const message_framing::message& framed) {
+  return MemoryOf({.messages = 1,
+                   .lines = framed.lines,
+                   .line_bytes = framed.line_bytes,
+                   .body_bytes = framed.body_bytes},
+                  0);
+}
+
+std::unordered_map<evconnlistener*, http_server::impl*>&
+http_server::impl::ServersByListener() {
+  static std::unordered_map<evconnlistener*, impl*> servers;
+  return servers;
+}
+
+void http_server::impl::OnAcceptFailed(evconnlistener* listener,
+                                       void* /*http*/) {
+  const auto& servers = ServersByListener();
+  const auto found = servers.find(listener);
+  if (found != servers.end()) {
+    found->second->HandleAcceptFailed(listener);
+  }
+}
+
+void http_server::impl::HandleAcceptFailed(evconnlistener* listener) {
+  // The kernel would report the same connection again and again.
+  evconnlistener_disable(listener);
+  accept_again_timer = loop.RunAfter(kAcceptPause, [this, listener] {
+    if (bound_socket != nullptr) {
+      evconnlistener_enable(listener);
+    }
+  });
+  loop.connections().FreeDescriptors();
+  if (on_accept_failed) {
+    on_accept_failed();
+  }
+}
+
+void http_server::impl::PostClose(evhttp_connection* evcon, std::uint64_t id) {
+  loop.Post([weak = std::weak_ptr(liveness_token), evcon, id] {
+    const auto owner = weak.lock();
+    if (owner == nullptr) {
+      return;
+    }
+    const auto found = (*owner)->connections.find(evcon);
+    const bool is_there = found != (*owner)->connections.end() &&
+                          found->second->id == id &&
+                          !found->second->IsInProgress();
+    if (is_there) {
+      evhttp_connection_free(evcon);
+    }
+  });
+}
+
 void http_server::impl::ApplyLimits() {
   const auto header_limit =
       static_cast<ev_ssize_t>(options.max_header_bytes) * kEvhttpLimitFactor;
@@ -230,6 +315,9 @@
     : impl_(std::move(state)) {}
 
 http_server::~http_server() {
+  std::erase_if(impl::ServersByListener(), [this](const auto& listening) {
+    return listening.second == impl_.get();
+  });
   impl_->on_closed = nullptr;
   // Frees the connections while `impl_` still exists, as their close callbacks
   // use it.
@@ -266,6 +354,8 @@
               reinterpret_cast<sockaddr*>(&bind_address), &size);
   server->port = ntohs(bind_address.sin_port);
   server->bound_socket = evhttp_bind_listener(http, listener);
+  impl::ServersByListener()[listener] = server.get();
+  evconnlistener_set_error_cb(listener, &impl::OnAcceptFailed);
   server->ApplyLimits();
   evhttp_set_allowed_methods(http, kAllMethods);
   evhttp_set_bevcb(http, &impl::MakeBufferevent, server.get());
@@ -279,10 +369,12 @@
 
 void http_server::SetLimits(std::size_t max_header_bytes,
                             std::size_t max_body_bytes,
-                            duration idle_timeout) {
+                            duration idle_timeout,
+                            duration header_timeout) {
   impl_->options.max_header_bytes = max_header_bytes;
   impl_->options.max_body_bytes = max_body_bytes;
   impl_->options.idle_timeout = idle_timeout;
+  impl_->options.header_timeout = header_timeout;
   impl_->ApplyLimits();
 }
 
@@ -310,6 +402,10 @@
   impl_->on_closed = std::move(task);
 }
 
+void http_server::OnAcceptFailed(std::function<void()> task) {
+  impl_->on_accept_failed = std::move(task);
+}
+
 void http_server::OnRejected(
     std::function<void(const rejected_request&)> task) {
   impl_->on_rejected = std::move(task);
--- a/src/libtmnet/http_server_impl.h
+++ b/src/libtmnet/http_server_impl.h
@@ -4,6 +4,7 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <event2/listener.h>
 
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,9 @@
   std::function<bool()> accept_filter;
   std::function<void()> on_closed;
   std::function<void(const rejected_request&)> on_rejected;
+  std::function<void()> on_accept_failed;
+  /// Accepts again after it failed.
+  timer accept_again_timer;
   /// Posted tasks hold a weak pointer to it and do nothing if it has expired.
   std::shared_ptr<impl*> liveness_token;
 
@@ -56,6 +60,15 @@
   /// Whether the connection may be closed without cutting off a request.
   static bool IsIdle(const server_connection& connection, time_point now);
   void RegisterConnection(bufferevent* bev);
+  /// Servers by their listeners: libevent's callback names nothing else.
+  static std::unordered_map<evconnlistener*, impl*>& ServersByListener();
+  /// Accepting failed, as it does when the process has no descriptor left.
+  static void OnAcceptFailed(evconnlistener* listener, void* http);
+  void HandleAcceptFailed(evconnlistener* listener);
+  /// Closes a connection, whatever it holds, in a later turn of the loop.
+  void PostClose(evhttp_connection* evcon, std::uint64_t id);
+  /// The memory of a request that has been received.
+  static std::size_t BytesOf(const message_framing::message& framed);
   /// Whether the kernel holds connections that are not accepted yet. Closing
   /// the listening socket would reset them.
   bool HasPendingConnections() const;
@@ -68,6 +81,11 @@
   std::optional<http_response> CheckRequest(
       const message_framing::message& framed,
       const http_request& request) const;
+  /// Rejects the request that a connection sends too slowly, and closes it.
+  void RejectSlow(server_connection& connection);
+  /// Writes a rejection of its own to a connection that evhttp reads from, and
+  /// closes it.
+  static void WriteRejection(server_connection& connection, int status);
   /// Calls `on_rejected` for a request of this connection.
   void ReportRejection(evhttp_connection* evcon, int status) const;
   /// Posts RejectMalformed(): the bytes of the next request are malformed.
--- a/src/libtmnet/http_server_rejection.cc
+++ b/src/libtmnet/http_server_rejection.cc
@@ -20,6 +20,7 @@
 constexpr std::size_t kStatusLinePrefixBytes = 12;
 constexpr std::size_t kStatusCodeOffset = 9;
 
+constexpr int kHttpRequestTimeout = 408;
 constexpr int kHttpHeadersTooLarge = 431;
 
 // A response that rejects a request which evhttp does not handle.
@@ -109,18 +110,44 @@
   }
   const bool is_too_long =
       connection.framing.front().found == message_framing::fault::kTooLong;
-  const int status = is_too_long ? kHttpHeadersTooLarge : HTTP_BADREQUEST;
+  WriteRejection(connection,
+                 is_too_long ? kHttpHeadersTooLarge : HTTP_BADREQUEST);
+}
+
+void http_server::impl::WriteRejection(server_connection& connection,
+                                       int status) {
   const std::string response = MakeRejectionText(status);
   connection.on_rejected(status);
   connection.closed_by_server = true;
   connection.writing_response = true;
-  evbuffer_add(output, response.data(), response.size());
+  evbuffer_add(bufferevent_get_output(connection.bev), response.data(),
+               response.size());
   WriteOutput(connection.bev);
   connection.writing_response = false;
   // The event loop then detects the end of the connection and frees it.
   shutdown(bufferevent_getfd(connection.bev), SHUT_RDWR);
 }
 
+void http_server::impl::RejectSlow(server_connection& connection) {
+  const bool has_head =
+      !connection.framing.empty() && connection.framing.front().has_head;
+  const duration limit = options.header_timeout +
+                         (has_head ? options.idle_timeout : duration::zero());
+  const bool is_slow = connection.use.phase() == connection_phase::kReceiving &&
+                       loop.Now() - connection.use.since() > limit;
+  // What has come and was not read yet is not late.
+  if (is_slow && !connection.refused && !connection.closed_by_server &&
+      PeekSocket(bufferevent_getfd(connection.bev)) == peek_result::kNothing) {
+    WriteRejection(connection, kHttpRequestTimeout);
+  }
+}
+
+void http_server::RejectSlowRequests() {
+  for (const auto& [evcon, connection] : impl_->connections) {
+    impl_->RejectSlow(*connection);
+  }
+}
+
 // Called when the output buffer changes. evhttp rejects malformed and oversized
 // requests with an HTML page of its own and then closes the connection. This
 // replaces the page with a JSON error while it is still in the buffer.
@@ -128,6 +155,7 @@
                                         const evbuffer_cb_info* change,
                                         void* self) {
   auto* connection = static_cast<server_connection*>(self);
+  connection->UpdateUse();
   if (connection->writing_response || change->n_added == 0) {
     return;
   }
--- a/src/libtmnet/message_cases_test.h
+++ b/src/libtmnet/message_cases_test.h
@@ -120,6 +120,11 @@
      false},
     {"HTTP/1.1 2000 OK\r\n\r\n", false},
     {"HTTP/1.1 20 OK\r\n\r\n", false},
+    // A status that is none reached callers as an answer on other systems.
+    {"HTTP/1.1 000 OK\r\nContent-Length: 3\r\n\r\nabc", false},
+    {"HTTP/1.1 099 OK\r\nContent-Length: 3\r\n\r\nabc", false},
+    {"HTTP/1.1 000\r\n\r\n", false},
+    {"HTTP/1.1 -00 OK\r\n\r\n", false},
     {"HTTP/2 200 OK\r\n\r\n", false},
     {"garbage\r\n\r\n", false},
 };
--- a/src/libtmnet/message_framing.cc
+++ b/src/libtmnet/message_framing.cc
@@ -100,8 +100,24 @@
   return text == "HTTP/1.1" || text == "HTTP/1.0";
 }
 
+constexpr std::size_t kLineEndBytes = 2;
+/// Memory of a buffer into which a read puts few bytes.
+constexpr std::size_t kLeastBufferBytes = 1088;
+/// Memory of one header: evhttp's list, two strings there and two in the copy
+/// that the handler gets.
+constexpr std::size_t kHeaderBytes = 192;
+/// Memory of a message that waits.
+constexpr std::size_t kMessageBytes = 128;
+
 }  // namespace
 
+std::size_t MemoryOf(const message_framing::pending_content& content,
+                     std::size_t buffered) {
+  const std::size_t bytes = content.line_bytes + content.body_bytes;
+  return content.messages * kMessageBytes + content.lines * kHeaderBytes +
+         std::max(bytes, buffered) + content.chunk_overhead;
+}
+
 message_framing::message_framing(bool is_request,
                                  std::size_t max_line_bytes,
                                  bool to_head)
@@ -123,11 +139,35 @@
   state_ = state::kStartLine;
   line_.clear();
   messages_.clear();
+  pending_ = {};
+}
+
+message_framing::pending_content message_framing::pending() const {
+  pending_content content = pending_;
+  content.messages = messages_.size();
+  content.line_bytes += line_.size();
+  return content;
+}
+
+void message_framing::CountLine() {
+  ++current().lines;
+  current().line_bytes += line_.size();
+  ++pending_.lines;
+  pending_.line_bytes += line_.size();
+}
+
+void message_framing::CountChunkOverhead(std::size_t bytes) {
+  current().chunk_overhead += bytes;
+  pending_.chunk_overhead += bytes;
 }
 
 message_framing::message message_framing::TakeFront() {
   message taken = std::move(messages_.front());
-  messages_.erase(messages_.begin());
+  messages_.pop_front();
+  pending_.lines -= taken.lines;
+  pending_.line_bytes -= taken.line_bytes;
+  pending_.body_bytes -= taken.body_bytes;
+  pending_.chunk_overhead -= taken.chunk_overhead;
   if (messages_.empty() && !taken.complete) {
     state_ = state::kDone;
   }
@@ -144,6 +184,11 @@
 }
 
 void message_framing::Consume(std::string_view bytes) {
+  const bool in_chunks = state_ == state::kChunkSize ||
+                         state_ == state::kChunk || state_ == state::kChunkEnd;
+  if (in_chunks && bytes.size() < kLeastBufferBytes) {
+    CountChunkOverhead(kLeastBufferBytes - bytes.size());
+  }
   while (!bytes.empty() && state_ != state::kDone) {
     switch (state_) {
       case state::kBody:
@@ -166,6 +211,7 @@
                                  : std::min<std::uint64_t>(left_, bytes.size());
   bytes.remove_prefix(size);
   current().body_bytes += size;
+  pending_.body_bytes += size;
   if (state_ == state::kUntilClose) {
     return;
   }
@@ -218,6 +264,7 @@
       HandleChunkSize();
       return;
     case state::kChunkEnd:
+      CountChunkOverhead(kLineEndBytes);
       line_.empty() ? void(state_ = state::kChunkSize)
                     : Fail(fault::kMalformed);
       return;
@@ -226,6 +273,8 @@
         Complete();
       } else if (!IsToken(std::string_view(line_).substr(0, line_.find(':')))) {
         Fail(fault::kMalformed);
+      } else {
+        CountLine();
       }
       return;
     default:
@@ -234,6 +283,7 @@
 }
 
 void message_framing::HandleStartLine() {
+  CountLine();
   body_ = {};
   state_ = state::kHeaders;
   if (is_request_) {
@@ -295,6 +345,7 @@
     return;
   }
   ++current().headers;
+  CountLine();
   const std::string_view name = line.substr(0, colon);
   const std::string_view value = Trim(line.substr(colon + 1));
   if (name.size() == kContentLength.size() &&
@@ -324,6 +375,7 @@
 }
 
 void message_framing::HandleHeadersEnd() {
+  current().has_head = true;
   if (body_.is_chunked && (body_.has_length || is_version_1_0_)) {
     Fail(fault::kMalformed);
     return;
@@ -334,6 +386,7 @@
       return;
     }
     // The final response follows.
+    pending_ = {};
     messages_.pop_back();
     state_ = state::kStartLine;
     return;
@@ -357,6 +410,7 @@
 }
 
 void message_framing::HandleChunkSize() {
+  CountChunkOverhead(line_.size() + kLineEndBytes);
   const auto size = ParseLength(line_, kHexadecimal);
   if (!size.has_value()) {
     Fail(fault::kMalformed);
--- a/src/libtmnet/message_framing.h
+++ b/src/libtmnet/message_framing.h
@@ -10,9 +10,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace trefoilmill {
 
@@ -31,14 +31,35 @@
     std::string method;
     /// Number of header fields, without trailers.
     std::size_t headers = 0;
+    /// Lines of the head and of trailers, and their bytes.
+    std::size_t lines = 0;
+    std::size_t line_bytes = 0;
+    /// Whether the head is complete.
+    bool has_head = false;
     /// Bytes of the body, without the lines that delimit chunks.
     std::uint64_t body_bytes = 0;
+    /// Memory that chunks take beyond their bytes.
+    std::uint64_t chunk_overhead = 0;
     /// The body ends with the connection.
     bool ends_with_connection = false;
     bool complete = false;
     fault found = fault::kNone;
   };
 
+  /// What messages that were not taken hold, as far as they have been read.
+  struct pending_content {
+    std::size_t messages = 0;
+    /// Lines of heads and trailers, and their bytes.
+    std::size_t lines = 0;
+    std::size_t line_bytes = 0;
+    std::uint64_t body_bytes = 0;
+    /// Memory that chunks take beyond their bytes: evhttp may keep the whole
+    /// buffer of a read for the byte of a chunk at its end.
+    std::uint64_t chunk_overhead = 0;
+    friend bool operator==(const pending_content&,
+                           const pending_content&) = default;
+  };
+
   /// Requests, one after another. `max_line_bytes` limits each line.
   static message_framing ForRequests(std::size_t max_line_bytes);
   /// One response, and interim ones (1xx) before it. A response to a HEAD
@@ -57,6 +78,8 @@
   bool empty() const { return messages_.empty(); }
   /// The oldest message that was not taken.
   const message& front() const { return messages_.front(); }
+  /// Of all messages that were not taken, and of a line in part.
+  pending_content pending() const;
   /// Removes the oldest message. What is left of one that is not complete is
   /// not read.
   message TakeFront();
@@ -84,6 +107,10 @@
   message_framing(bool is_request, std::size_t max_line_bytes, bool to_head);
 
   message& current() { return messages_.back(); }
+  /// Counts the line of a head or of trailers that was just read.
+  void CountLine();
+  /// Counts memory that chunks of the current message take.
+  void CountChunkOverhead(std::size_t bytes);
   void Fail(fault found);
   /// Takes the next line out of `bytes`; returns whether it is complete, then
   /// in `line_` without its end.
@@ -111,9 +138,16 @@
   /// Bytes of the body, or of the chunk, that are still to come.
   std::uint64_t left_ = 0;
   /// Few: those that came while a request was in progress.
-  std::vector<message> messages_;
+  std::deque<message> messages_;
+  /// Sums over `messages_`.
+  pending_content pending_;
 };
 
+/// Memory that this content takes, in bytes, while `buffered` bytes have not
+/// been read by evhttp. Bytes of the content are there or in evhttp.
+std::size_t MemoryOf(const message_framing::pending_content& content,
+                     std::size_t buffered);
+
 }  // namespace trefoilmill
 
 #endif  // TREFOILMILL_LIBTMNET_MESSAGE_FRAMING_H_
--- a/src/trefoilmill_entry/connection_pools.cc
+++ b/src/trefoilmill_entry/connection_pools.cc
@@ -91,7 +91,8 @@
                                    {.connect_timeout = kConnectTimeout,
                                     .max_body_bytes = kMaxReplyBytes,
                                     .local_ip = local_ip_,
-                                    .accept_close_delimited = true});
+                                    .accept_close_delimited = true,
+                                    .may_give_up_for_memory = true});
   p.connections.push_back(std::move(created));
   telemetry_.meter->Increment(metric::kConnectionsOpened);
   c.http->Connect(
--- a/src/trefoilmill_entry/entry_process.cc
+++ b/src/trefoilmill_entry/entry_process.cc
@@ -99,8 +99,7 @@
   }
   process->telemetry_.log = std::move(log.value());
   process->telemetry_.meter = metrics::Create();
-  process->telemetry_.log->Info(log_message::kProcessStarted,
-                                {.zone = settings.zone});
+  process->LimitConnections();
   std::mt19937_64 random(std::random_device{}());
   entry_process* self = process.get();
   process->pools_ = std::make_unique<connection_pools>(
@@ -173,6 +172,9 @@
   }
   process->peers_ = std::move(peers.value());
   ReportRejections(process->peers_->server(), "peers", process->telemetry_);
+  if (process->metrics_server_ != nullptr) {
+    ReportRejections(*process->metrics_server_, "metrics", process->telemetry_);
+  }
   process->requests_->OnPermitsNeeded(
       [self] { self->peers_->quotas().SendWants(); });
   process->requests_->SetForwardingPeers(process->peers_->ForwardingPeers());
@@ -201,7 +203,9 @@
           {.max_body_bytes = caller_limits().max_body_bytes,
            .target_only = true,
            .max_header_bytes = caller_limits().max_header_bytes,
-           .idle_timeout = caller_limits().idle_timeout * kIdleTimeoutFactor},
+           .idle_timeout = caller_limits().idle_timeout * kIdleTimeoutFactor,
+           .header_timeout =
+               caller_limits().header_timeout * kHeaderTimeoutFactor},
           [this](http_request request, const http_responder& responder) {
             requests_->Handle(std::move(request), responder);
           }));
@@ -234,6 +238,18 @@
   return ListenForMetrics();
 }
 
+std::vector<http_server*> entry_process::Servers() const {
+  std::vector<http_server*> servers = {
+      caller_server_.get(), readiness_server_.get(), directory_server_.get()};
+  if (metrics_server_ != nullptr) {
+    servers.push_back(metrics_server_.get());
+  }
+  if (peers_ != nullptr) {
+    servers.push_back(&peers_->server());
+  }
+  return servers;
+}
+
 result<void> entry_process::ListenForMetrics() {
   if (settings_.metrics_port == 0) {
     return outcome::success();
@@ -315,11 +331,16 @@
   // entry hosts have to be checked periodically.
   if (++housekeeping_runs_ % kHousekeepingRunsPerHostCheck == 0) {
     hosts_changed_ = true;
+    std::ranges::for_each(Servers(), &http_server::RejectSlowRequests);
   }
   ApplyHostChanges();
   telemetry_.meter->Set(
       metric::kEndpointsKnown,
       static_cast<double>(shared_state_.registry.entries().size()));
+  telemetry_.meter->Set(metric::kConnectionBytes,
+                        static_cast<double>(loop_.connections().bytes()));
+  telemetry_.meter->Set(metric::kInboundConnections,
+                        static_cast<double>(loop_.connections().inbound()));
   telemetry_.meter->Set(metric::kLogLinesDropped,
                         static_cast<double>(telemetry_.log->dropped_lines()));
   telemetry_.log->Flush();
--- a/src/trefoilmill_entry/entry_process.h
+++ b/src/trefoilmill_entry/entry_process.h
@@ -49,6 +49,9 @@
   /// The server closes idle connections after this multiple of the time that
   /// callers may leave them idle.
   static constexpr int kIdleTimeoutFactor = 2;
+  /// Callers' time for a request's head is longer than the one that is declared
+  /// to them, as it may pass while this process is not scheduled.
+  static constexpr int kHeaderTimeoutFactor = 2;
 
   result<void> Listen();
   result<void> ListenForMetrics();
@@ -67,6 +70,10 @@
   /// The store shows an older version than the one in force, as after a
   /// restoration.
   void OnLoadStep(const configuration_loader::outdated& step);
+  /// Bounds what all connections together may hold, and logs the bounds.
+  void LimitConnections();
+  /// All servers of the process.
+  std::vector<http_server*> Servers() const;
   /// Puts new limits of callers' connections and requests in force.
   void ApplyCallerLimits(const caller_limits& limits);
   void UpdateZonesOut();
--- a/src/trefoilmill_entry/entry_process_configuration.cc
+++ b/src/trefoilmill_entry/entry_process_configuration.cc
@@ -101,11 +101,13 @@
 
 void entry_process::ApplyCallerLimits(const caller_limits& limits) {
   const duration idle_timeout = limits.idle_timeout * kIdleTimeoutFactor;
+  const duration header_timeout = limits.header_timeout * kHeaderTimeoutFactor;
   caller_server_->SetLimits(limits.max_header_bytes, limits.max_body_bytes,
-                            idle_timeout);
+                            idle_timeout, header_timeout);
   peers_->server().SetLimits(
       limits.max_header_bytes + kForwardingHeaderBytes,
-      std::max(limits.max_body_bytes, kMaxPartsRequestBytes), idle_timeout);
+      std::max(limits.max_body_bytes, kMaxPartsRequestBytes), idle_timeout,
+      header_timeout);
 }
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/rejected_requests.cc
+++ b/src/trefoilmill_entry/rejected_requests.cc
@@ -21,6 +21,11 @@
          .inputs = {{"address", address},
                     {"status", std::int64_t{rejected.status}}}});
   });
+  server.OnAcceptFailed([&process_telemetry, address = std::string(address)] {
+    process_telemetry.meter->Increment(metric::kAcceptFailures, {address});
+    process_telemetry.log->Warning(log_message::kAcceptFailed,
+                                   {.inputs = {{"address", address}}});
+  });
 }
 
 }  // namespace trefoilmill::entry
--- a/src/trefoilmill_entry/rejected_requests.h
+++ b/src/trefoilmill_entry/rejected_requests.h
@@ -9,10 +9,11 @@
 
 namespace trefoilmill::entry {
 
-/// Logs and counts each request that `server` rejects as malformed or too
-/// large. `address` says which of the process's addresses it serves, such as
-/// "callers". `process_telemetry` must outlive the server. Nothing of the
-/// request itself is logged, as it may hold a key.
+/// Logs and counts each request that `server` rejects as malformed, too large
+/// or too slow, and each connection that it cannot accept. `address` says which
+/// of the process's addresses it serves, such as "callers". `process_telemetry`
+/// must outlive the server. Nothing of the request itself is logged, as it may
+/// hold a key.
 void ReportRejections(http_server& server,
                       std::string_view address,
                       telemetry& process_telemetry);
