Watches that a silent store never answers are checked

Cause: a watch that the store received while it was silent is never answered, and was given up by its limit alone, 26.5 s. All watching hosts send theirs after the same event and lose them together.

Change: replies about the configuration state the store's revision. A watch of another kind that does not reach it within 300 ms is checked by a second one beside it, without a wait; if there are changes, it is dead and begins anew. Nothing is asked where all revisions in between are known as changes of other kinds. Replies are waited for 1.0 s beyond their wait (1.5 s before), and the configuration's watches wait 1.7 s (1.5 s before).

--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -19,7 +19,9 @@
 
 /// State machine that performs no I/O and reads no clock: its user carries out
 /// the returned actions and reports how they ended. At most one call to the
-/// store is in progress.
+/// store is in progress, and beside a watch one that checks it: a store that
+/// falls silent may never answer a watch that it received meanwhile, and the
+/// watch alone does not show that.
 class store_follower {
  public:
   /// Long-poll time of watches, and delays between calls.
@@ -32,8 +34,22 @@
     /// to `max_backoff`.
     duration initial_backoff = std::chrono::milliseconds(150);
     duration max_backoff = std::chrono::milliseconds(1000);
+    /// How long a watch may take to bring a change whose revision the store has
+    /// stated otherwise, until it is checked.
+    duration check_delay = std::chrono::milliseconds(300);
   };
 
+  /// Limit of a call that lists objects. A slow store takes some tenths of a
+  /// second.
+  static constexpr duration kListTimeout = std::chrono::milliseconds(2000);
+  /// How much longer a watch may take than the wait that the store was asked
+  /// for. With the longest watch of the configuration it is how long a store
+  /// that fell silent stays unnoticed.
+  static constexpr duration kReplyMargin = std::chrono::milliseconds(1000);
+
+  /// The settings with which a kind is followed.
+  static config ConfigOf(object_kind kind);
+
   /// The objects in the form that hosts send to each other.
   struct copy {
     revision as_of;
@@ -55,6 +71,15 @@
     revision since;
     duration wait;
   };
+  /// Find out whether there are changes after revision `since`, up to `until`,
+  /// beside the watch in progress, and report them to OnCheck(): request them
+  /// at once, unless it is known that there are none.
+  struct check {
+    revision since;
+    revision until;
+  };
+  /// The call in progress is void: its reply must not be reported.
+  struct abandon_call {};
   /// Call Tick() at this time.
   struct wake {
     time_point at;
@@ -65,8 +90,13 @@
   struct object_changed {
     object_event event;
   };
-  using action =
-      std::variant<list_page, watch, wake, content_replaced, object_changed>;
+  using action = std::variant<list_page,
+                              watch,
+                              check,
+                              abandon_call,
+                              wake,
+                              content_replaced,
+                              object_changed>;
   using actions = std::vector<action>;
   /// @}
 
@@ -79,6 +109,13 @@
   actions OnPage(time_point now, object_page page);
   /// A watch ended, with or without changes.
   actions OnWatch(time_point now, watch_result result);
+  /// The store stated revision `at` in a reply about other objects. If the
+  /// watch in progress does not reach it soon, it is checked.
+  actions OnRevisionStated(time_point now, revision at);
+  /// A check ended. Changes mean that the watch in progress is dead.
+  actions OnCheck(time_point now, watch_result result);
+  /// A check failed.
+  actions OnCheckFailed(time_point now);
   /// The call in progress failed or returned an unusable reply.
   actions OnFailed(time_point now);
   /// The store was restored from an older copy and is now in `era`. The call in
@@ -123,8 +160,12 @@
 
  private:
   enum class stage { kIdle, kListing, kWatching, kDelaying };
+  /// Of the watch in progress.
+  enum class check_stage { kNone, kScheduled, kInProgress };
 
   actions StartNextCall();
+  /// Checks the watch in progress if it is time to and it still is behind.
+  actions CheckIfDue(time_point now);
   void ReplaceContent(std::vector<stored_object> objects,
                       revision as_of,
                       actions& out);
@@ -134,6 +175,10 @@
   config config_;
   std::mt19937_64 random_;
   stage stage_ = stage::kIdle;
+  check_stage check_stage_ = check_stage::kNone;
+  /// When the watch is checked, and the revision that it has to reach by then.
+  time_point check_at_;
+  revision stated_;
   /// When the current delay ends.
   time_point resume_at_;
   /// This process has read a complete list from the store.
--- a/src/include/trefoilmill/wire/log_messages.h
+++ b/src/include/trefoilmill/wire/log_messages.h
@@ -43,6 +43,8 @@
     "connection not accepted: no descriptor left";
 inline constexpr char kConnectionsClosed[] =
     "connections closed: together they held too much";
+inline constexpr char kWatchDead[] =
+    "a watch of the store was dead; its changes came otherwise";
 inline constexpr char kRequestRejected[] =
     "request rejected as malformed or too large";
 inline constexpr char kRequestHandedOver[] =
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <ranges>
 #include <utility>
 
@@ -15,6 +16,12 @@
 constexpr int kMaxBackoffDoublings = 10;
 /// A reply may arrive this long after the requested wait of a watch.
 constexpr duration kWatchReplyGrace = std::chrono::milliseconds(700);
+/// Watches of the configuration are short because they also show that the
+/// store answers, and its revision. Longer watches need fewer calls.
+constexpr duration kConfigurationWatchWait = std::chrono::milliseconds(1700);
+/// Pause after changes of endpoints, so that one call fetches several:
+/// endpoints change often, a few at a time, and may go on serving for seconds.
+constexpr duration kEndpointsSettleDelay = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -36,6 +43,17 @@
   return "unknown";
 }
 
+store_follower::config store_follower::ConfigOf(object_kind kind) {
+  config settings;
+  if (kind == object_kind::kConfiguration) {
+    settings.max_watch_wait = kConfigurationWatchWait;
+  }
+  if (kind == object_kind::kEndpoints) {
+    settings.change_delay = kEndpointsSettleDelay;
+  }
+  return settings;
+}
+
 store_follower::store_follower(const config& settings, std::mt19937_64 random)
     : config_(settings), random_(random) {}
 
@@ -44,6 +62,7 @@
 }
 
 store_follower::actions store_follower::StartNextCall() {
+  check_stage_ = check_stage::kNone;
   if (listed_ && !watch_enabled_) {
     stage_ = stage::kIdle;
     probe_sent_ = false;
@@ -76,6 +95,7 @@
   const auto jittered_length =
       static_cast<double>(length.count()) * fraction(random_);
   stage_ = stage::kDelaying;
+  check_stage_ = check_stage::kNone;
   resume_at_ = now + duration(static_cast<duration::rep>(jittered_length));
   return wake{resume_at_};
 }
@@ -225,6 +245,7 @@
   list_after_.clear();
   list_items_.clear();
   probe_sent_ = false;
+  check_stage_ = check_stage::kNone;
   requires_latest_list_ = true;
   if (as_of_.era() < era) {
     const bool learns_from_peers = listed_ && !watch_enabled_;
@@ -237,6 +258,59 @@
   return StartNextCall();
 }
 
+store_follower::actions store_follower::OnRevisionStated(time_point now,
+                                                         revision at) {
+  if (stage_ != stage::kWatching || check_stage_ != check_stage::kNone ||
+      at <= as_of_) {
+    return {};
+  }
+  check_stage_ = check_stage::kScheduled;
+  check_at_ = now + config_.check_delay;
+  stated_ = at;
+  return {wake{check_at_}};
+}
+
+store_follower::actions store_follower::CheckIfDue(time_point now) {
+  if (check_stage_ != check_stage::kScheduled) {
+    return {};
+  }
+  if (now < check_at_) {
+    return {wake{check_at_}};
+  }
+  if (as_of_ >= stated_) {
+    check_stage_ = check_stage::kNone;
+    return {};
+  }
+  check_stage_ = check_stage::kInProgress;
+  return {check{.since = as_of_, .until = stated_}};
+}
+
+store_follower::actions store_follower::OnCheck(time_point now,
+                                                watch_result result) {
+  if (check_stage_ != check_stage::kInProgress) {
+    return {};
+  }
+  check_stage_ = check_stage::kNone;
+  const auto* changes = std::get_if<object_changes>(&result);
+  if (changes != nullptr && changes->events.empty()) {
+    last_reply_at_ = now;
+    as_of_ = std::max(as_of_, changes->as_of);
+    return {};
+  }
+  actions out = {abandon_call{}};
+  std::ranges::move(OnWatch(now, std::move(result)), std::back_inserter(out));
+  return out;
+}
+
+store_follower::actions store_follower::OnCheckFailed(time_point now) {
+  if (check_stage_ != check_stage::kInProgress) {
+    return {};
+  }
+  actions out = {abandon_call{}};
+  std::ranges::move(OnFailed(now), std::back_inserter(out));
+  return out;
+}
+
 store_follower::actions store_follower::OnFailed(time_point now) {
   const int doublings = std::min(consecutive_failures_, kMaxBackoffDoublings);
   ++consecutive_failures_;
@@ -247,6 +321,9 @@
 }
 
 store_follower::actions store_follower::Tick(time_point now) {
+  if (stage_ == stage::kWatching) {
+    return CheckIfDue(now);
+  }
   if (stage_ != stage::kDelaying) {
     return {};
   }
--- a/src/libtrefoilmill/version/store_restore_calls_test.cc
+++ b/src/libtrefoilmill/version/store_restore_calls_test.cc
@@ -318,6 +318,18 @@
       }
     });
   }
+  // Revisions that replies about other kinds state are not passed on here, so
+  // that no watch is checked.
+  void RunOne(model_host& /*host*/,
+              object_kind /*kind*/,
+              const store_follower::check& /*action*/) {
+    BOOST_ERROR("a watch is checked");
+  }
+  void RunOne(model_host& /*host*/,
+              object_kind /*kind*/,
+              const store_follower::abandon_call& /*action*/) {
+    BOOST_ERROR("a call is abandoned");
+  }
   void RunOne(model_host& host,
               object_kind kind,
               const store_follower::watch& action) {
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -11,9 +11,6 @@
 namespace trefoilmill::entry {
 namespace {
 
-/// How much longer a watch may take than the wait that the store was asked
-/// for.
-constexpr duration kWatchReplyMargin = std::chrono::milliseconds(1500);
 /// How soon a connection to a store that vanished is detected.
 constexpr duration kDeadPeerTimeout = std::chrono::seconds(2);
 /// Largest body of a reply that is accepted: 8 MiB.
@@ -23,25 +20,6 @@
 /// not all hosts write at once.
 constexpr duration kMinAnnounceCheckDelay = std::chrono::milliseconds(500);
 constexpr duration kMaxAnnounceCheckDelay = std::chrono::milliseconds(2500);
-/// Watches of the configuration are short because they also show that the
-/// store answers. Longer watches need fewer calls.
-constexpr duration kConfigurationWatchWait = std::chrono::milliseconds(1500);
-/// Pause after changes of endpoints, so that one call fetches several:
-/// endpoints change often, a few at a time, and may go on serving for seconds.
-constexpr duration kEndpointsSettleDelay = std::chrono::milliseconds(250);
-
-/// Settings of the follower of one kind.
-store_follower::config FollowerConfig(object_kind kind) {
-  store_follower::config config;
-  if (kind == object_kind::kConfiguration) {
-    config.max_watch_wait = kConfigurationWatchWait;
-  }
-  if (kind == object_kind::kEndpoints) {
-    config.change_delay = kEndpointsSettleDelay;
-  }
-  return config;
-}
-
 /// A generator seeded from `random`.
 std::mt19937_64 DeriveGenerator(std::mt19937_64& random) {
   return std::mt19937_64(random());
@@ -79,7 +57,7 @@
     followed_kinds_.emplace(
         kind, std::make_unique<followed_kind>(followed_kind{
                   .kind = kind,
-                  .follower = store_follower(FollowerConfig(kind),
+                  .follower = store_follower(store_follower::ConfigOf(kind),
                                              DeriveGenerator(random))}));
   }
 }
@@ -239,7 +217,8 @@
       store_,
       platform::MakeListRequest(followed.kind, action.after,
                                 action.may_be_stale),
-      kCallTimeout, [this, &followed, number](http_result exchange) {
+      store_follower::kListTimeout,
+      [this, &followed, number](http_result exchange) {
         const auto response =
             TakeReply(followed, number, "list", std::move(exchange));
         if (!response.has_value()) {
@@ -261,7 +240,7 @@
   client_.Send(
       store_,
       platform::MakeWatchRequest(followed.kind, action.since, action.wait),
-      action.wait + kWatchReplyMargin,
+      action.wait + store_follower::kReplyMargin,
       [this, &followed, number](http_result exchange) {
         const auto response =
             TakeReply(followed, number, "watch", std::move(exchange));
@@ -277,19 +256,61 @@
       });
 }
 
-void store_sync::OnWatchEnded(followed_kind& followed, watch_result result) {
-  std::optional<store_changes> reported;
-  if (const auto* changes = std::get_if<object_changes>(&result);
-      changes != nullptr && !changes->events.empty()) {
-    reported = {.from = followed.follower.changed_at(),
-                .changes = *changes,
-                .replaced = ReplacedObjects(followed.follower, *changes)};
+std::optional<store_sync::store_changes> store_sync::ChangesIn(
+    const followed_kind& followed,
+    const watch_result& result) {
+  const auto* changes = std::get_if<object_changes>(&result);
+  if (changes == nullptr || changes->events.empty()) {
+    return std::nullopt;
+  }
+  for (const object_event& event : changes->events) {
+    seen_.Add(event.object.at);
   }
+  return store_changes{
+      .from = followed.follower.changed_at(),
+      .changes = *changes,
+      .replaced = ReplacedObjects(followed.follower, *changes)};
+}
+
+void store_sync::OnWatchEnded(followed_kind& followed, watch_result result) {
+  const auto reported = ChangesIn(followed, result);
+  const auto* changes = std::get_if<object_changes>(&result);
+  const revision stated = changes == nullptr ? revision() : changes->as_of;
   RunActions(followed,
              followed.follower.OnWatch(loop_.Now(), std::move(result)));
   if (reported.has_value()) {
     callbacks_.on_store_changes(followed.kind, *reported);
   }
+  ReportRevision(followed.kind, stated);
+}
+
+void store_sync::OnCheckEnded(followed_kind& followed, watch_result result) {
+  const auto reported = ChangesIn(followed, result);
+  RunActions(followed,
+             followed.follower.OnCheck(loop_.Now(), std::move(result)));
+  if (reported.has_value()) {
+    telemetry_.log->Warning(
+        log_message::kWatchDead,
+        {.document = document_id(std::string(ToString(followed.kind))),
+         .at = followed.follower.as_of(),
+         .inputs = {{"changes", static_cast<std::int64_t>(
+                                    reported->changes.events.size())}}});
+    callbacks_.on_store_changes(followed.kind, *reported);
+  }
+}
+
+// The revision is the same for all kinds. Replies about the configuration come
+// most often, and while nothing changes.
+void store_sync::ReportRevision(object_kind kind, revision at) {
+  if (kind != object_kind::kConfiguration) {
+    return;
+  }
+  for (auto& [other, followed] : followed_kinds_) {
+    if (other != kind) {
+      RunActions(*followed,
+                 followed->follower.OnRevisionStated(loop_.Now(), at));
+    }
+  }
 }
 
 std::vector<stored_object> store_sync::ReplacedObjects(
@@ -305,6 +326,48 @@
   return replaced;
 }
 
+void store_sync::RunAction(followed_kind& followed,
+                           const store_follower::check& action) {
+  if (seen_.HasAll(action.since, action.until)) {
+    OnCheckEnded(followed, object_changes{.events = {}, .as_of = action.until});
+    return;
+  }
+  const std::uint64_t number = followed.call_number;
+  client_.Send(
+      store_,
+      platform::MakeWatchRequest(followed.kind, action.since, duration::zero()),
+      store_follower::kReplyMargin,
+      [this, &followed, number](http_result exchange) {
+        if (number != followed.call_number) {
+          return;
+        }
+        const bool is_answered = exchange.response.has_value();
+        RecordReachability(is_answered, "check");
+        if (is_answered) {
+          const auto stated =
+              platform::ParseStoreEra(*exchange.response).value_or(store_era());
+          ObserveEra(stated);
+          if (number != followed.call_number || stated < era_) {
+            return;
+          }
+        }
+        const auto changes = is_answered
+                                 ? platform::ParseWatchResponse(
+                                       followed.kind, *exchange.response)
+                                 : result<watch_result>(failure{});
+        if (!changes.has_value()) {
+          RunActions(followed, followed.follower.OnCheckFailed(loop_.Now()));
+          return;
+        }
+        OnCheckEnded(followed, changes.value());
+      });
+}
+
+void store_sync::RunAction(followed_kind& followed,
+                           const store_follower::abandon_call& /*action*/) {
+  ++followed.call_number;
+}
+
 void store_sync::RunAction(followed_kind& followed,
                            const store_follower::wake& action) {
   followed.wake_timer =
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -18,6 +18,7 @@
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
 #include "trefoilmill/version/rollout.h"
+#include "trefoilmill/version/seen_revisions.h"
 #include "trefoilmill/version/store_follower.h"
 #include "trefoilmill_entry/telemetry.h"
 
@@ -122,6 +123,9 @@
   void RunAction(followed_kind& followed,
                  const store_follower::list_page& action);
   void RunAction(followed_kind& followed, const store_follower::watch& action);
+  void RunAction(followed_kind& followed, const store_follower::check& action);
+  void RunAction(followed_kind& followed,
+                 const store_follower::abandon_call& action);
   void RunAction(followed_kind& followed, const store_follower::wake& action);
   void RunAction(followed_kind& followed,
                  const store_follower::content_replaced& action);
@@ -135,6 +139,14 @@
                                          std::string_view call,
                                          http_result exchange);
   void OnWatchEnded(followed_kind& followed, watch_result result);
+  /// A check of a watch ended.
+  void OnCheckEnded(followed_kind& followed, watch_result result);
+  /// The store stated its revision in a reply about objects of `kind`.
+  void ReportRevision(object_kind kind, revision at);
+  /// What a reply to a watch changes, for the hosts that hear of it from this
+  /// one; unset if nothing.
+  std::optional<store_changes> ChangesIn(const followed_kind& followed,
+                                         const watch_result& result);
   /// The present versions of changed objects that are split into parts.
   static std::vector<stored_object> ReplacedObjects(
       const store_follower& follower,
@@ -171,6 +183,7 @@
   http_client client_;
   std::map<object_kind, std::unique_ptr<followed_kind>> followed_kinds_;
   std::mt19937_64 random_;
+  seen_revisions seen_;
   bool watching_ = false;
   /// The store's era; unset until the store or a peer stated one.
   std::optional<store_era> era_;
