--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -257,7 +257,7 @@
 
 std::unordered_map<evconnlistener*, http_server::impl*>&
 http_server::impl::ServersByListener() {
-  static std::unordered_map<evconnlistener*, impl*> servers;
+  thread_local std::unordered_map<evconnlistener*, impl*> servers;
   return servers;
 }
 
