--- a/src/libtrefoilmill/version/store_outage_replay_test.cc
+++ b/src/libtrefoilmill/version/store_outage_replay_test.cc
@@ -109,7 +109,7 @@
   void List(object_kind kind,
             const std::string& after,
             page_callback done,
-            failure_callback failed) {
+            const failure_callback& failed) {
     Receive(
         [this, kind, after, done = std::move(done)](duration delay) {
           object_page page{.as_of = revision(revision_)};
@@ -125,13 +125,13 @@
           }
           clock_.At(clock_.now() + delay, [done, page] { done(page); });
         },
-        std::move(failed));
+        failed);
   }
 
   void Watch(object_kind kind,
              const store_follower::watch& call,
              watch_callback done,
-             failure_callback failed) {
+             const failure_callback& failed) {
     Receive(
         [this, kind, call, done = std::move(done), failed](duration delay) {
           held_.push_back({.kind = kind,
@@ -447,6 +447,7 @@
   virtual_clock clock;
   fake_store store(clock, drawn.outages);
   std::vector<std::unique_ptr<watching_host>> watching;
+  watching.reserve(static_cast<std::size_t>(hosts));
   for (int i = 0; i < hosts; ++i) {
     watching.push_back(
         std::make_unique<watching_host>(clock, store, checks, seed + i));
