--- a/scripts/lib/entry_fleet.py
+++ b/scripts/lib/entry_fleet.py
@@ -67,9 +67,9 @@
 class Host:
     """One entry process."""
 
-    def __init__(self, network, number, directory=None, **changes):
+    def __init__(self, network, number, directory=None, program=None, **changes):
         """`changes` replace settings. The log is kept in `directory`, if it is
-        given."""
+        given. `program` is run in place of the entry process under test."""
         self.ip = f"{network}.1.{number}"
         self.name = f"front-{number}"
         settings = {
@@ -91,7 +91,7 @@
             "w+", prefix=f"{self.name}-", suffix=".errors", dir=directory,
             delete=directory is None)
         self.process = subprocess.Popen(
-            [BIN / "trefoilmill_entry"], stdout=self.log, stderr=self.errors,
+            [program or BIN / "trefoilmill_entry"], stdout=self.log, stderr=self.errors,
             env={**os.environ, "TREFOILMILL_CONFIG": file.name})
 
     def holds_signals(self):
@@ -136,9 +136,11 @@
 class Fleet:
     """The platform's stand-in with two endpoints a shard, and entry hosts."""
 
-    def __init__(self, network, hosts, routes=(), settings=None):
+    def __init__(self, network, hosts, routes=(), settings=None,
+                 programs=(None,)):
         self.network = network
         self.settings = settings or {}
+        self.programs = programs
         self.store = platform.Store()
         platform.serve_store(f"{network}.0.1", STORE_PORT, self.store)
         self.endpoints = {}
@@ -195,7 +197,8 @@
         start()
 
     def start_host(self, number):
-        return Host(self.network, number, **self.settings)
+        program = self.programs[number % len(self.programs)]
+        return Host(self.network, number, program=program, **self.settings)
 
     def serve(self, name, service, port, version="v1", born=1):
         """Adds an endpoint."""
@@ -228,9 +231,10 @@
 
 
 @contextlib.contextmanager
-def running(network, hosts, routes=(), settings=None):
-    """`routes` are added to the configuration, `settings` to those of hosts."""
-    fleet = Fleet(network, hosts, routes, settings)
+def running(network, hosts, routes=(), settings=None, programs=(None,)):
+    """`routes` are added to the configuration, `settings` to those of hosts, which
+    run `programs` in turns; None is the entry process under test."""
+    fleet = Fleet(network, hosts, routes, settings, programs)
     try:
         yield fleet
     finally:
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -14,6 +14,17 @@
 HEALTH_PATH = "/health"
 WATCH_POLL_S = 0.02
 GONE = "history is gone"
+# How a store fails towards a host: calls that arrive are accepted and never
+# answered, while those that wait already go on afterwards ("silent") or are
+# never answered, either ("dropped"); their connections are reset ("reset");
+# they are rejected ("busy", "many"); they take effect, and replies are never
+# sent ("lost"), cut off in the middle ("half") or late ("slow").
+OUTAGE_FORMS = ("silent", "dropped", "reset", "busy", "many", "lost", "half",
+                "slow")
+REJECTIONS = {"busy": 503, "many": 429}
+SLOW_REPLY_S = 0.24
+NEVER_ANSWERED = "no reply is sent"
+ALL_HOSTS = ""
 
 
 class Store:
@@ -31,6 +42,21 @@
         self.era = 1
         # What stands in replies in place of marks.
         self.raw = {}
+        # Forms of outages, by the IP number of the host that meets them.
+        self._outages = {}
+
+    def fail(self, form, hosts=(ALL_HOSTS,)):
+        """Begins an outage of one of OUTAGE_FORMS, for some hosts or all."""
+        assert form in OUTAGE_FORMS, form
+        self._outages |= dict.fromkeys(hosts, form)
+
+    def mend(self):
+        """Ends all outages."""
+        self._outages = {}
+
+    def outage(self, host):
+        """The form of the outage that a host meets, or None."""
+        return self._outages.get(host, self._outages.get(ALL_HOSTS))
 
     def configure(self, **attributes):
         """Sets `down` or `delay_s`."""
@@ -107,10 +133,16 @@
                      if k == kind]
             return {"items": items, "has_more": False, "as_of": self._revision}
 
-    def watch(self, kind, since, wait_s):
+    def watch(self, kind, since, wait_s, host=None):
         until = time.monotonic() + wait_s
         era = self.era
         while not self.down and self.era == era:
+            outage = self.outage(host)
+            if outage in ("dropped", "reset"):
+                return NEVER_ANSWERED
+            if outage in ("silent", *REJECTIONS):
+                time.sleep(WATCH_POLL_S)
+                continue
             with self._lock:
                 if since > self._revision:
                     return GONE
@@ -205,6 +237,26 @@
         pass
 
 
+def _wait_for_close(connection):
+    """Returns once the peer has closed a connection."""
+    try:
+        while connection.recv(1):
+            pass
+    except OSError:
+        """It was reset."""
+
+
+def _send_half(request, reply):
+    """Sends the head of a reply and half of its body."""
+    status, headers, body = reply
+    request.send_response(status)
+    for name, value in headers.items():
+        request.send_header(name, value)
+    request.send_header("Content-Length", str(len(body)))
+    request.end_headers()
+    request.wfile.write(body[:len(body) // 2])
+
+
 def _reset(connection):
     """Closes a connection with a reset."""
     try:
@@ -287,13 +339,43 @@
         time.sleep(store.delay_s)
         if store.down:
             return 503, {}, b""
+        host = request.client_address[0]
+        arrived_in = store.outage(host)
+        if arrived_in in REJECTIONS:
+            return REJECTIONS[arrived_in], {}, b""
+        if arrived_in == "reset":
+            _reset(request.connection)
+            return None
+        if arrived_in in ("silent", "dropped"):
+            _wait_for_close(request.connection)
+            return None
+        reply = answer(request, body)
+        # Of an outage in which it arrived, or which began while it waited.
+        outage = arrived_in or store.outage(host)
+        if outage == "lost" or (reply is NEVER_ANSWERED and outage != "reset"):
+            _wait_for_close(request.connection)
+            return None
+        if reply is NEVER_ANSWERED:
+            _reset(request.connection)
+            return None
+        if outage == "half":
+            _send_half(request, reply)
+            return None
+        if outage == "slow":
+            time.sleep(SLOW_REPLY_S)
+        return reply
+
+    def answer(request, body):
         era = {"Store-Era": str(store.era)}
         url = urllib.parse.urlsplit(request.path)
         query = dict(urllib.parse.parse_qsl(url.query))
         kind, _, name = url.path[len(OBJECTS):].partition("/")
         if request.command == "GET" and "watch" in query:
             result = store.watch(kind, int(query["watch"]),
-                                 int(query["wait_ms"]) / 1000)
+                                 int(query["wait_ms"]) / 1000,
+                                 request.client_address[0])
+            if result is NEVER_ANSWERED:
+                return NEVER_ANSWERED
         elif request.command == "GET":
             result = store.list(kind)
         elif request.command == "DELETE":
