A change after a silence of the store is known 0.5 s sooner

Callers saw: nothing yet. The longest path from the end of a silence to a known change added up to 3.15 s, more than the drain time of 3 s.

Cause: a watch of the configuration that the silent store received last was given up 2.7 s later, and the watches of other kinds were checked 0.3 s after the next reply. Considered and ruled out by adding up the replay's path: the delay after the failure (0.15 s) and the replies (a few ms) don't bind.

Change: replies to watches are waited for 0.7 s beyond their wait (1.0 s before), checks come after 0.1 s (0.3 s). A call without a wait has 2 s, so that a store slower than 0.7 s is still heard, and a call without a reply is followed by the next one after 0.15 s. The log says why a call failed. A watch that is given up closes its connection.

--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -31,21 +31,24 @@
     /// Delay after a change, so that changes in quick succession cost one call.
     duration change_delay = std::chrono::milliseconds(100);
     /// Delay after a first failed call; doubles with each further failure, up
-    /// to `max_backoff`.
+    /// to `max_backoff`. A call without a reply is not followed by a longer
+    /// one: its limit has kept the calls apart already.
     duration initial_backoff = std::chrono::milliseconds(150);
     duration max_backoff = std::chrono::milliseconds(1000);
     /// How long a watch may take to bring a change whose revision the store has
-    /// stated otherwise, until it is checked.
-    duration check_delay = std::chrono::milliseconds(300);
+    /// stated otherwise, until it is checked. Replies to two watches that end
+    /// with the same change arrive this close to each other.
+    duration check_delay = std::chrono::milliseconds(100);
   };
 
-  /// Limit of a call that lists objects. A slow store takes some tenths of a
+  /// Limit of a call that the store answers without a wait: a page of a list,
+  /// or the first watch after a failure. A slow store takes some tenths of a
   /// second.
-  static constexpr duration kListTimeout = std::chrono::milliseconds(2000);
-  /// How much longer a watch may take than the wait that the store was asked
-  /// for. With the longest watch of the configuration it is how long a store
-  /// that fell silent stays unnoticed.
-  static constexpr duration kReplyMargin = std::chrono::milliseconds(1000);
+  static constexpr duration kCallLimit = std::chrono::milliseconds(2000);
+  /// How much longer other watches may take than the wait that the store was
+  /// asked for. With the longest watch of the configuration it is how long a
+  /// store that fell silent stays unnoticed.
+  static constexpr duration kReplyMargin = std::chrono::milliseconds(700);
 
   /// The settings with which a kind is followed.
   static config ConfigOf(object_kind kind);
@@ -65,11 +68,15 @@
     /// Whether the store may reply with an older state, which costs less. The
     /// watch that follows, or a peer, supplies later changes.
     bool may_be_stale = false;
+    /// The call fails without a reply by then.
+    duration limit = kCallLimit;
   };
   /// Request the changes after revision `since`, waiting up to `wait` for one.
   struct watch {
     revision since;
     duration wait;
+    /// The call fails without a reply by then.
+    duration limit;
   };
   /// Find out whether there are changes after revision `since`, up to `until`,
   /// beside the watch in progress, and report them to OnCheck(): request them
@@ -77,6 +84,8 @@
   struct check {
     revision since;
     revision until;
+    /// The check fails without a reply by then.
+    duration limit = kReplyMargin;
   };
   /// The call in progress is void: its reply must not be reported.
   struct abandon_call {};
@@ -118,6 +127,8 @@
   actions OnCheckFailed(time_point now);
   /// The call in progress failed or returned an unusable reply.
   actions OnFailed(time_point now);
+  /// The call in progress had no reply within its limit.
+  actions OnNoReply(time_point now);
   /// The store was restored from an older copy and is now in `era`. The call in
   /// progress, if any, is void: its reply must not be reported. A host that
   /// watches the store, or has no list yet, lists the latest state; others wait
@@ -170,6 +181,8 @@
                       revision as_of,
                       actions& out);
   void ApplyEvents(std::vector<object_event> events, actions& out);
+  /// Notes that a call failed, and waits for about `delay` before the next one.
+  actions RetryAfter(time_point now, duration delay);
   action StartDelay(time_point now, duration length);
 
   config config_;
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -73,8 +73,9 @@
     // The first watch returns at once to prove that the store answers.
     const duration wait =
         probe_sent_ ? config_.max_watch_wait : duration::zero();
+    const duration limit = probe_sent_ ? wait + kReplyMargin : kCallLimit;
     probe_sent_ = true;
-    return {watch{.since = as_of_, .wait = wait}};
+    return {watch{.since = as_of_, .wait = wait, .limit = limit}};
   }
   stage_ = stage::kListing;
   return {
@@ -313,11 +314,19 @@
 
 store_follower::actions store_follower::OnFailed(time_point now) {
   const int doublings = std::min(consecutive_failures_, kMaxBackoffDoublings);
+  return RetryAfter(now, std::min(config_.max_backoff,
+                                  config_.initial_backoff * (1 << doublings)));
+}
+
+store_follower::actions store_follower::OnNoReply(time_point now) {
+  return RetryAfter(now, config_.initial_backoff);
+}
+
+store_follower::actions store_follower::RetryAfter(time_point now,
+                                                   duration delay) {
   ++consecutive_failures_;
   probe_sent_ = false;
-  const duration length =
-      std::min(config_.max_backoff, config_.initial_backoff * (1 << doublings));
-  return {StartDelay(now, length)};
+  return {StartDelay(now, delay)};
 }
 
 store_follower::actions store_follower::Tick(time_point now) {
--- a/src/libtrefoilmill/version/store_outage_replay_test.cc
+++ b/src/libtrefoilmill/version/store_outage_replay_test.cc
@@ -274,7 +274,7 @@
     Note(kind);
   }
   void RunAction(object_kind kind, const store_follower::list_page& list) {
-    const std::uint64_t call = Begin(kind, store_follower::kListTimeout);
+    const std::uint64_t call = Begin(kind, list.limit);
     store_.List(
         kind, list.after,
         [=, this](object_page page) {
@@ -285,8 +285,7 @@
         [=, this] { Fail(kind, call); });
   }
   void RunAction(object_kind kind, const store_follower::watch& watch) {
-    const std::uint64_t call =
-        Begin(kind, watch.wait + store_follower::kReplyMargin);
+    const std::uint64_t call = Begin(kind, watch.limit);
     store_.Watch(
         kind, watch,
         [=, this](const watch_result& result) {
@@ -323,9 +322,10 @@
         Run(kind, Of(kind).OnCheckFailed(clock_.now()));
       }
     };
-    clock_.At(clock_.now() + store_follower::kReplyMargin, fail);
+    clock_.At(clock_.now() + check.limit, fail);
     store_.Watch(
-        kind, {.since = check.since, .wait = duration::zero()},
+        kind,
+        {.since = check.since, .wait = duration::zero(), .limit = check.limit},
         [=, this](const watch_result& result) {
           if (end()) {
             See(result);
@@ -349,7 +349,11 @@
   store_follower& Of(object_kind kind) { return followed_.at(kind).follower; }
   std::uint64_t Begin(object_kind kind, duration limit) {
     const std::uint64_t call = ++followed_.at(kind).call;
-    clock_.At(clock_.now() + limit, [=, this] { Fail(kind, call); });
+    clock_.At(clock_.now() + limit, [=, this] {
+      if (End(kind, call)) {
+        Run(kind, Of(kind).OnNoReply(clock_.now()));
+      }
+    });
     return call;
   }
   /// Whether the reply to this call is still waited for.
@@ -497,6 +501,50 @@
                                      << " late; first " << seen.first);
 }
 
+namespace {
+
+/// How long after the end of a short silence a host knows of a change of an
+/// endpoint that was made right after it. An endpoint and, `before` the
+/// silence, the configuration change such that their watches are sent anew
+/// within the silence.
+duration TimeUntilKnown(duration before, std::uint64_t seed) {
+  const time_point begin{seconds(10)};
+  const time_point end = begin + milliseconds(100);
+  virtual_clock clock;
+  fake_store store(
+      clock, {{.begin = begin, .end = end, .form = outage_form::kSilent}});
+  store.Write(object_kind::kConfiguration, "main");
+  const watching_host host(clock, store, /*checks=*/true, seed);
+  const auto write_at = [&](time_point when, object_kind kind,
+                            const std::string& name) {
+    clock.At(when, [&store, kind, name] { store.Write(kind, name); });
+  };
+  write_at(begin - milliseconds(150), object_kind::kEndpoints, "lost");
+  write_at(begin - before, object_kind::kConfiguration, "main");
+  write_at(end + milliseconds(1), object_kind::kEndpoints, "change");
+  clock.RunUntil(end + seconds(40));
+  const auto found = host.learned().find({object_kind::kEndpoints, "change"});
+  return found == host.learned().end() ? duration::max()
+                                       : found->second.begin()->second - end;
+}
+
+}  // namespace
+
+// A watch of the configuration that is sent at the last moment of a silence
+// shows last that the store was away. Its limit, the delay after it, the next
+// call and the check of the endpoints' watch add up to the longest path.
+BOOST_AUTO_TEST_CASE(the_longest_path_is_shorter_than_the_drain_time) {
+  duration longest{};
+  for (int before_ms = 0; before_ms <= 100; before_ms += 2) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      longest =
+          std::max(longest, TimeUntilKnown(milliseconds(before_ms), seed));
+    }
+  }
+  BOOST_TEST_MESSAGE("longest path: " << longest.count() / 1000 << " ms");
+  BOOST_TEST((longest < kDrainTime));
+}
+
 // What is guarded against: watches that end by their own replies alone.
 BOOST_AUTO_TEST_CASE(watches_alone_miss_changes) {
   int late_plays = 0;
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -34,6 +34,8 @@
   timer wake_timer;
   /// Number of the latest call; replies to earlier ones are void.
   std::uint64_t call_number = 0;
+  /// The latest call.
+  http_client::request_handle call = 0;
 };
 
 store_sync::store_sync(event_loop& loop,
@@ -148,7 +150,7 @@
                   {"watching", std::int64_t{watching_}}}});
   for (auto& [kind, followed] : followed_kinds_) {
     if (Follows(kind)) {
-      ++followed->call_number;
+      RunAction(*followed, store_follower::abandon_call{});
       RunActions(*followed, followed->follower.OnStoreRestored(era));
     }
   }
@@ -180,7 +182,7 @@
                                                    std::uint64_t call_number,
                                                    std::string_view call,
                                                    http_result exchange) {
-  RecordReachability(exchange.response.has_value(), call);
+  RecordOutcome(exchange, call);
   store_era stated;
   if (exchange.response.has_value()) {
     stated = platform::ParseStoreEra(*exchange.response).value_or(store_era());
@@ -190,14 +192,14 @@
     return std::nullopt;
   }
   if (!exchange.response.has_value()) {
-    OnCallFailed(followed, {});
+    OnCallFailed(followed, exchange.failure_reason);
     return std::nullopt;
   }
   if (stated < era_) {
     failure error;
     error.detail =
         "the reply is of an earlier era than " + std::to_string(era_->value());
-    OnCallFailed(followed, error);
+    OnReplyUnusable(followed, error);
     return std::nullopt;
   }
   return std::move(exchange.response);
@@ -213,12 +215,11 @@
 void store_sync::RunAction(followed_kind& followed,
                            const store_follower::list_page& action) {
   const std::uint64_t number = ++followed.call_number;
-  client_.Send(
+  followed.call = client_.Send(
       store_,
       platform::MakeListRequest(followed.kind, action.after,
                                 action.may_be_stale),
-      store_follower::kListTimeout,
-      [this, &followed, number](http_result exchange) {
+      action.limit, [this, &followed, number](http_result exchange) {
         const auto response =
             TakeReply(followed, number, "list", std::move(exchange));
         if (!response.has_value()) {
@@ -226,7 +227,7 @@
         }
         auto page = platform::ParseListResponse(followed.kind, *response);
         if (!page.has_value()) {
-          OnCallFailed(followed, page.error());
+          OnReplyUnusable(followed, page.error());
           return;
         }
         RunActions(followed, followed.follower.OnPage(loop_.Now(),
@@ -237,11 +238,10 @@
 void store_sync::RunAction(followed_kind& followed,
                            const store_follower::watch& action) {
   const std::uint64_t number = ++followed.call_number;
-  client_.Send(
+  followed.call = client_.Send(
       store_,
       platform::MakeWatchRequest(followed.kind, action.since, action.wait),
-      action.wait + store_follower::kReplyMargin,
-      [this, &followed, number](http_result exchange) {
+      action.limit, [this, &followed, number](http_result exchange) {
         const auto response =
             TakeReply(followed, number, "watch", std::move(exchange));
         if (!response.has_value()) {
@@ -249,7 +249,7 @@
         }
         auto changes = platform::ParseWatchResponse(followed.kind, *response);
         if (!changes.has_value()) {
-          OnCallFailed(followed, changes.error());
+          OnReplyUnusable(followed, changes.error());
           return;
         }
         OnWatchEnded(followed, std::move(changes.value()));
@@ -336,13 +336,12 @@
   client_.Send(
       store_,
       platform::MakeWatchRequest(followed.kind, action.since, duration::zero()),
-      store_follower::kReplyMargin,
-      [this, &followed, number](http_result exchange) {
+      action.limit, [this, &followed, number](http_result exchange) {
         if (number != followed.call_number) {
           return;
         }
         const bool is_answered = exchange.response.has_value();
-        RecordReachability(is_answered, "check");
+        RecordOutcome(exchange, "check");
         if (is_answered) {
           const auto stated =
               platform::ParseStoreEra(*exchange.response).value_or(store_era());
@@ -366,6 +365,7 @@
 void store_sync::RunAction(followed_kind& followed,
                            const store_follower::abandon_call& /*action*/) {
   ++followed.call_number;
+  client_.Cancel(followed.call);
 }
 
 void store_sync::RunAction(followed_kind& followed,
@@ -392,17 +392,33 @@
   callbacks_.on_changed(followed.kind, action.event);
 }
 
-void store_sync::OnCallFailed(followed_kind& followed, const failure& error) {
+void store_sync::OnCallFailed(followed_kind& followed,
+                              std::optional<http_failure> reason) {
+  LogCallFailed(followed, reason.has_value() ? ToString(*reason) : "");
+  RunActions(followed, reason == http_failure::kTimeout
+                           ? followed.follower.OnNoReply(loop_.Now())
+                           : followed.follower.OnFailed(loop_.Now()));
+}
+
+void store_sync::OnReplyUnusable(followed_kind& followed,
+                                 const failure& error) {
+  LogCallFailed(followed, error.detail);
+  RunActions(followed, followed.follower.OnFailed(loop_.Now()));
+}
+
+void store_sync::LogCallFailed(const followed_kind& followed,
+                               std::string_view why) {
   telemetry_.log->Warning(
       "store call failed",
       {.document = document_id(std::string(ToString(followed.kind))),
        .at = followed.follower.as_of(),
        .reason = reason_code::kStoreUnavailable,
-       .detail = error.detail});
-  RunActions(followed, followed.follower.OnFailed(loop_.Now()));
+       .detail = std::string(why)});
 }
 
-void store_sync::RecordReachability(bool reachable, std::string_view call) {
+void store_sync::RecordOutcome(const http_result& exchange,
+                               std::string_view call) {
+  const bool reachable = exchange.response.has_value();
   telemetry_.meter->Increment(metric::kStoreCalls,
                               {call, reachable ? "answered" : "failed"});
   if (reachability_known_ && reachable == reachable_) {
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -153,7 +153,12 @@
       const object_changes& changes);
   /// Writes the announced object again unless the store has it in this era.
   void RestoreAnnouncement();
-  void OnCallFailed(followed_kind& followed, const failure& error);
+  /// A follower's call had no response.
+  void OnCallFailed(followed_kind& followed,
+                    std::optional<http_failure> reason);
+  /// A follower's call had a response that cannot be read, or is outdated.
+  void OnReplyUnusable(followed_kind& followed, const failure& error);
+  void LogCallFailed(const followed_kind& followed, std::string_view why);
   /// A list in progress that ListOnce() began.
   struct single_list {
     object_kind kind;
@@ -173,7 +178,7 @@
   /// attempts so far.
   void SendAnnouncement(bool create, int failures);
   /// Counts a call, and logs when the store became reachable or unreachable.
-  void RecordReachability(bool reachable, std::string_view call);
+  void RecordOutcome(const http_result& exchange, std::string_view call);
 
   event_loop& loop_;
   socket_address store_;
--- a/src/trefoilmill_entry/store_sync_calls.cc
+++ b/src/trefoilmill_entry/store_sync_calls.cc
@@ -27,7 +27,7 @@
 
 int store_sync::TakeSingleReply(std::string_view call,
                                 const http_result& exchange) {
-  RecordReachability(exchange.response.has_value(), call);
+  RecordOutcome(exchange, call);
   if (!exchange.response.has_value()) {
     return 0;
   }
@@ -149,7 +149,7 @@
           : platform::MakeReplaceRequest(announcement_.kind, announcement_.name,
                                          announcement_.content);
   client_.Send(store_, request, kCallTimeout, [=, this](http_result exchange) {
-    RecordReachability(exchange.response.has_value(), "write");
+    RecordOutcome(exchange, "write");
     int status = 0;
     if (exchange.response.has_value()) {
       status = exchange.response->status;
