What a late check of a watch brings does not count as seen

Callers saw: nothing yet; found by reading. A host could miss a change of an endpoint or a zone for good, and go on sending requests there.

Cause: a check's reply that came after the watch had ended was noted as seen and then dropped. If the next watch was lost, its check was skipped, as all changes had been seen, and the copy was declared current past them.

Ruled out by the test's store: that the watch is not checked at all (the first check is made), and that a second check's reply is dropped (none is made).

Change: what a check brings is noted and taken only while it is waited for.

--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -125,6 +125,8 @@
   actions OnCheck(time_point now, watch_result result);
   /// A check failed.
   actions OnCheckFailed(time_point now);
+  /// Whether the result of a check is still waited for.
+  bool is_checking() const { return check_stage_ == check_stage::kInProgress; }
   /// The call in progress failed or returned an unusable reply.
   actions OnFailed(time_point now);
   /// The call in progress had no reply within its limit.
--- a/src/libtrefoilmill/version/store_outage_replay_test.cc
+++ b/src/libtrefoilmill/version/store_outage_replay_test.cc
@@ -327,7 +327,7 @@
         kind,
         {.since = check.since, .wait = duration::zero(), .limit = check.limit},
         [=, this](const watch_result& result) {
-          if (end()) {
+          if (end() && Of(kind).is_checking()) {
             See(result);
             Run(kind, Of(kind).OnCheck(clock_.now(), result));
           }
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -350,6 +350,11 @@
             return;
           }
         }
+        if (!followed.follower.is_checking()) {
+          // The watch has ended meanwhile, and the next one begins after what
+          // it brought. What this reply brings is not known to this host then.
+          return;
+        }
         const auto changes = is_answered
                                  ? platform::ParseWatchResponse(
                                        followed.kind, *exchange.response)
