A call to the store without a reply makes idle connections doubtful

Callers saw: nothing yet; found by listing what may be in flight. Where open connections go silent and new ones work, each call after the first lost one took another connection that was silent, and news came after more than the drain time.

Cause: the client keeps idle connections and takes the one used last.

Ruled out: the limits of the calls alone (2.65 s with new connections), and keepalive probes that come late (the kernel of a store that hangs answers them).

Change: a call that had no reply closes the idle connections to the store.

--- a/src/include/trefoilmill/net/http.h
+++ b/src/include/trefoilmill/net/http.h
@@ -271,6 +271,9 @@
   /// reported. Does nothing if the request has ended. Not to be called from
   /// within a callback of the same request.
   void Cancel(request_handle handle);
+  /// Closes the idle connections to `address`, so that later requests use new
+  /// ones. Not to be called from within Send().
+  void CloseIdleConnections(const socket_address& address);
 
  private:
   struct impl;
--- a/src/libtmnet/http_client.cc
+++ b/src/libtmnet/http_client.cc
@@ -161,4 +161,8 @@
                 });
 }
 
+void http_client::CloseIdleConnections(const socket_address& address) {
+  impl_->idle_connections.erase(address);
+}
+
 }  // namespace trefoilmill
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -426,6 +426,10 @@
   const bool reachable = exchange.response.has_value();
   telemetry_.meter->Increment(metric::kStoreCalls,
                               {call, reachable ? "answered" : "failed"});
+  if (exchange.failure_reason == http_failure::kTimeout) {
+    // Those that are idle may be as dead as the one of this call.
+    client_.CloseIdleConnections(store_);
+  }
   if (reachability_known_ && reachable == reachable_) {
     return;
   }
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -177,7 +177,8 @@
   /// Creates or replaces the announced object. `failures` counts the failed
   /// attempts so far.
   void SendAnnouncement(bool create, int failures);
-  /// Counts a call, and logs when the store became reachable or unreachable.
+  /// Counts a call, logs when the store became reachable or unreachable, and
+  /// drops the connections that a call without a reply makes doubtful.
   void RecordOutcome(const http_result& exchange, std::string_view call);
 
   event_loop& loop_;
--- a/src/trefoilmill_entry/store_sync_test.cc
+++ b/src/trefoilmill_entry/store_sync_test.cc
@@ -65,6 +65,14 @@
   }
   /// Replies are only sent by Reply() from now on.
   void HoldReplies() { holds_replies_ = true; }
+  /// Requests on all connections made so far get no reply from now on.
+  void SilenceConnections() {
+    silent_connections_ = connections_;
+    std::ranges::transform(held_, std::back_inserter(silent_),
+                           &held_watch::responder);
+    held_.clear();
+  }
+
   /// Answers a held watch with the changes up to revision `until`.
   void Reply(std::size_t index, std::uint64_t until) {
     const held_watch watch = held_.at(index);
@@ -222,4 +230,15 @@
   BOOST_TEST(RunUntil(*loop, [&] { return Knows(second); }));
 }
 
+// Connections go silent, the idle ones, too, and new ones work. Each call that
+// failed was followed by one on another connection that was silent.
+BOOST_FIXTURE_TEST_CASE(silent_connections_delay_news_by_one_call_only,
+                        fixture) {
+  store.SilenceConnections();
+  const time_point begin = loop->Now();
+  store.Write(object_kind::kEndpoints);
+  BOOST_TEST(RunUntil(*loop, [&] { return Knows(store.last()); }));
+  BOOST_TEST((loop->Now() - begin < kDrainTime));
+}
+
 }  // namespace trefoilmill::entry
