Hosts that start in an outage of the store find each other after it

Cause: a host's record was written up to 4 s after the outage, the hosts were listed 0.03 to 0.24 s after it, and then again after 20 s.

Ruled out by the log: lists that fail for long (they came first), and hosts that the directory leaves out (none was known). The record's retries and the one list are both needed: with records after 1.14 s nobody was found.

Change: record_writer plans the retries (1 s at most, 0.15 s after a call without a reply, at once where a reply says which call is right), and a host whose record came late lists the hosts once more. A calm start makes the same calls.

--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -144,6 +144,9 @@
   /// Lists all objects again. Does nothing while a call or a delay is in
   /// progress.
   actions Relist();
+  /// Lists the latest state of all objects, after the call or the delay in
+  /// progress.
+  actions RelistLatest();
   /// A peer forwarded changes to a copy at revision `from`. They are ignored if
   /// this host's copy is older than `from`, or already as new as the changes.
   actions OnPeerChanges(revision from, object_changes changes);
@@ -201,6 +204,8 @@
   /// The next list must show the store's latest state: an older one may precede
   /// the history that the store still has.
   bool requires_latest_list_ = false;
+  /// A list is wanted after the call or the delay in progress.
+  bool relist_pending_ = false;
   /// The first watch since the last failure or idle period was sent. It returns
   /// at once to prove that the store answers; later ones wait for changes.
   bool probe_sent_ = false;
--- a/src/libtrefoilmill/version/store_follower.cc
+++ b/src/libtrefoilmill/version/store_follower.cc
@@ -63,6 +63,11 @@
 
 store_follower::actions store_follower::StartNextCall() {
   check_stage_ = check_stage::kNone;
+  if (relist_pending_ && list_after_.empty()) {
+    relist_pending_ = false;
+    requires_latest_list_ = true;
+    listed_ = false;
+  }
   if (listed_ && !watch_enabled_) {
     stage_ = stage::kIdle;
     probe_sent_ = false;
@@ -155,6 +160,15 @@
   return StartNextCall();
 }
 
+store_follower::actions store_follower::RelistLatest() {
+  requires_latest_list_ = true;
+  if (stage_ == stage::kIdle) {
+    return Relist();
+  }
+  relist_pending_ = true;
+  return {};
+}
+
 store_follower::actions store_follower::OnWatch(time_point now,
                                                 watch_result result) {
   consecutive_failures_ = 0;
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -54,7 +54,8 @@
               local_ip,
               {.max_body_bytes = kMaxReplyBytes,
                .dead_peer_timeout = kDeadPeerTimeout}),
-      random_(DeriveGenerator(random)) {
+      random_(DeriveGenerator(random)),
+      announcement_writer_(DeriveGenerator(random)) {
   for (const object_kind kind : kObjectKinds) {
     followed_kinds_.emplace(
         kind, std::make_unique<followed_kind>(followed_kind{
@@ -101,6 +102,11 @@
   RunActions(followed, followed.follower.Relist());
 }
 
+void store_sync::RelistLatestHosts() {
+  followed_kind& followed = *followed_kinds_.at(object_kind::kHosts);
+  RunActions(followed, followed.follower.RelistLatest());
+}
+
 void store_sync::ApplyPeerChanges(object_kind kind,
                                   revision from,
                                   object_changes changes) {
@@ -174,7 +180,7 @@
               : "writing this host's record again",
       {.document = document_id(announcement_.name), .at = hosts.as_of()});
   if (!present) {
-    SendAnnouncement(/*create=*/true, 0);
+    SendAnnouncement(announcement_writer_.Begin());
   }
 }
 
--- a/src/trefoilmill_entry/store_sync.h
+++ b/src/trefoilmill_entry/store_sync.h
@@ -17,6 +17,7 @@
 #include "trefoilmill/ids.h"
 #include "trefoilmill/net/event_loop.h"
 #include "trefoilmill/net/http.h"
+#include "trefoilmill/version/record_writer.h"
 #include "trefoilmill/version/rollout.h"
 #include "trefoilmill/version/seen_revisions.h"
 #include "trefoilmill/version/store_follower.h"
@@ -174,9 +175,13 @@
   /// Handles what all replies to single calls have in common; returns the
   /// response's status, or 0 without a response.
   int TakeSingleReply(std::string_view call, const http_result& exchange);
-  /// Creates or replaces the announced object. `failures` counts the failed
-  /// attempts so far.
-  void SendAnnouncement(bool create, int failures);
+  /// Writes the announced object after a delay, and again until the store
+  /// confirms it.
+  void SendAnnouncement(const record_writer::attempt& attempt);
+  void OnAnnouncementEnded(const http_result& exchange);
+  /// Lists the hosts once more: those whose records came late did not find each
+  /// other in lists made before.
+  void RelistLatestHosts();
   /// Counts a call, logs when the store became reachable or unreachable, and
   /// drops the connections that a call without a reply makes doubtful.
   void RecordOutcome(const http_result& exchange, std::string_view call);
@@ -203,6 +208,8 @@
     std::string content;
   };
   announcement announcement_;
+  record_writer announcement_writer_;
+  http_client::request_handle announcement_call_ = 0;
   timer announce_retry_timer_;
   timer announce_check_timer_;
 };
--- a/src/trefoilmill_entry/store_sync_calls.cc
+++ b/src/trefoilmill_entry/store_sync_calls.cc
@@ -12,10 +12,6 @@
 namespace trefoilmill::entry {
 namespace {
 
-/// Delay between attempts to announce this host, multiplied by the number of
-/// failures but by no more than kMaxAnnounceDelayFactor.
-constexpr duration kAnnounceRetryDelay = std::chrono::milliseconds(400);
-constexpr int kMaxAnnounceDelayFactor = 10;
 /// HTTP status of the store's reply if the object exists already.
 constexpr int kHttpConflict = 409;
 /// The same if there is no such object.
@@ -23,6 +19,23 @@
 /// Delay after a failed list of a kind of which no copy is kept.
 constexpr duration kListRetryDelay = std::chrono::milliseconds(500);
 
+record_writer::outcome OutcomeOf(const http_result& exchange) {
+  if (!exchange.response.has_value()) {
+    return exchange.failure_reason == http_failure::kTimeout
+               ? record_writer::outcome::kNoReply
+               : record_writer::outcome::kFailed;
+  }
+  const int status = exchange.response->status;
+  if (status / 100 == 2) {
+    return record_writer::outcome::kStored;
+  }
+  if (status == kHttpConflict) {
+    return record_writer::outcome::kExists;
+  }
+  return status == kHttpNotFound ? record_writer::outcome::kMissing
+                                 : record_writer::outcome::kFailed;
+}
+
 }  // namespace
 
 int store_sync::TakeSingleReply(std::string_view call,
@@ -135,40 +148,37 @@
                           std::string content) {
   announcement_ = {
       .kind = kind, .name = std::move(name), .content = std::move(content)};
-  SendAnnouncement(/*create=*/true, 0);
+  SendAnnouncement(announcement_writer_.Begin());
 }
 
-// A create is followed by a replace if the object exists, perhaps from an
-// earlier process of this host, or if creates keep failing: the reply to one
-// may have been lost. Both store the same content.
-void store_sync::SendAnnouncement(bool create, int failures) {
-  const http_request request =
-      create
-          ? platform::MakeCreateRequest(announcement_.kind, announcement_.name,
-                                        announcement_.content)
-          : platform::MakeReplaceRequest(announcement_.kind, announcement_.name,
-                                         announcement_.content);
-  client_.Send(store_, request, kCallTimeout, [=, this](http_result exchange) {
-    RecordOutcome(exchange, "write");
-    int status = 0;
-    if (exchange.response.has_value()) {
-      status = exchange.response->status;
-      if (const auto era = platform::ParseStoreEra(*exchange.response)) {
-        ObserveEra(*era);
-      }
-    }
-    if (status / 100 == 2) {
-      return;
-    }
-    const bool exists = status == kHttpConflict;
-    const int delay_factor = std::min(failures + 1, kMaxAnnounceDelayFactor);
-    const duration delay =
-        exists ? duration::zero() : kAnnounceRetryDelay * delay_factor;
-    const bool create_next = exists ? false : !create || failures == 0;
-    announce_retry_timer_ = loop_.RunAfter(delay, [=, this] {
-      SendAnnouncement(create_next, exists ? failures : delay_factor);
-    });
+void store_sync::SendAnnouncement(const record_writer::attempt& attempt) {
+  client_.Cancel(announcement_call_);
+  const bool creates = attempt.next == record_writer::call::kCreate;
+  announce_retry_timer_ = loop_.RunAfter(attempt.delay, [this, creates] {
+    const auto& [kind, name, content] = announcement_;
+    announcement_call_ = client_.Send(
+        store_,
+        creates ? platform::MakeCreateRequest(kind, name, content)
+                : platform::MakeReplaceRequest(kind, name, content),
+        kCallTimeout,
+        [this](const http_result& exchange) { OnAnnouncementEnded(exchange); });
   });
 }
 
+void store_sync::OnAnnouncementEnded(const http_result& exchange) {
+  const int status = TakeSingleReply("write", exchange);
+  const auto next = announcement_writer_.OnEnded(OutcomeOf(exchange));
+  if (next.has_value()) {
+    SendAnnouncement(*next);
+    return;
+  }
+  if (!announcement_writer_.is_late()) {
+    return;
+  }
+  telemetry_.log->Info("this host's record was written late",
+                       {.document = document_id(announcement_.name),
+                        .inputs = {{"status", std::int64_t{status}}}});
+  RelistLatestHosts();
+}
+
 }  // namespace trefoilmill::entry
