Soak: the store silent while endpoints come and go

Change: silences of the store, and endpoints of a service of their own that drain just before, in and after each, are replaced and come back. The promise "changes around a silent store are known" judges them; known_since() counts from the end of an outage that a change fell into.

--- a/scripts/lib/soak_checks.py
+++ b/scripts/lib/soak_checks.py
@@ -230,9 +230,9 @@
     return verdict
 
 
-def draining_gets_nothing(record):
-    """An endpoint that drains or leaves gets nothing after the drain time."""
-    verdict = Verdict("draining endpoints get nothing")
+def _late_at_leaving(record):
+    """For each endpoint that drains or leaves and each process that had to know: the
+    service, and a line on the requests that came late, if any did."""
     drained = collections.defaultdict(list)
     for event in record.events("drained"):
         drained[event["instance"]].append(event["at"])
@@ -250,9 +250,32 @@
                     if a["host_ip"] == life.host and
                     since + DRAIN_S < a["arrived"] and
                     life.undisturbed(since, a["arrived"])]
-            verdict.test(late and f"{instance} got {len(late)} requests of "
-                         f"{life.host}, the last {max(late):.3f} s after "
-                         f"{since:.3f}")
+            yield (_service_of(instance),
+                   late and f"{instance} got {len(late)} requests of "
+                   f"{life.host}, the last {max(late):.3f} s after {since:.3f}")
+
+
+def _service_of(instance):
+    """The service of an endpoint, by the name of one of its instances."""
+    return instance.removesuffix("-next").rpartition("-")[0]
+
+
+def draining_gets_nothing(record):
+    """An endpoint that drains or leaves gets nothing after the drain time."""
+    verdict = Verdict("draining endpoints get nothing")
+    for service, fault in _late_at_leaving(record):
+        if service != soak_fleet.ROTA:
+            verdict.test(fault)
+    return verdict
+
+
+def known_around_silences(record):
+    """What the store is told around a silence of it is known within the drain time of
+    the change, or of the silence's end."""
+    verdict = Verdict("changes around a silent store are known")
+    for service, fault in _late_at_leaving(record):
+        if service == soak_fleet.ROTA:
+            verdict.test(fault)
     return verdict
 
 
@@ -376,7 +399,7 @@
 
 PROMISES = (answered_around_stops, stops_end_in_time, answers_are_true,
             runs_at_most_once, refused_did_not_run, draining_gets_nothing,
-            pauses_are_heeded, new_routes_are_served, versions_never_fall,
+            known_around_silences, pauses_are_heeded, new_routes_are_served, versions_never_fall,
             whole_answers_return)
 
 
--- a/scripts/lib/soak_fleet.py
+++ b/scripts/lib/soak_fleet.py
@@ -22,6 +22,9 @@
 BOOKING = "booking"
 # Its endpoints stay without faults, so that a version's route can be seen.
 STEADY = "steady"
+# Its endpoints come and go around silences of the store, and have no other faults.
+ROTA = "rota"
+ROTA_ENDPOINTS = 10
 REPLICAS = 3
 LEDGER_ENDPOINTS = 8
 ARCHIVE_ENDPOINTS = 2
@@ -34,6 +37,7 @@
 SWEEP = RequestKind("sweep", "/sweep/1", deadline_s=2.0, pause_s=0.3)
 LEDGER_PULL = RequestKind("ledger-pull", "/ledger/1", deadline_s=8.0,
                           pause_s=0.2)
+ROTA_PULL = RequestKind("rota-pull", "/rota/1", deadline_s=2.0, pause_s=0.1)
 # One large answer.
 ARCHIVE_PULL = RequestKind("archive-pull", "/archive/1", deadline_s=8.0,
                            pause_s=1.0)
@@ -55,13 +59,13 @@
               "fanout": SHARDS, "max_attempts": 3, "top_k": TOP_K,
               "min_coverage": 0.75}
     relays = [_relay(service, service, "idempotent")
-              for service in (LEDGER, ARCHIVE)]
+              for service in (LEDGER, ARCHIVE, ROTA)]
     relays.append(_relay("book", BOOKING, "non_idempotent"))
     relays.append(_relay(f"version-{version}", STEADY, "idempotent"))
     services = [{"name": name, "health_path": "/health",
                  "max_conns": MAX_CONNECTIONS, "warmup_s": 0.0,
                  "warmup_per_s": 0.0}
-                for name in SHARDS + [LEDGER, ARCHIVE, BOOKING, STEADY]]
+                for name in SHARDS + [LEDGER, ARCHIVE, BOOKING, STEADY, ROTA]]
     return {"version": version, "routes": [gather] + relays,
             "backends": services,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 10000,
@@ -122,6 +126,8 @@
                     for replica in range(ARCHIVE_ENDPOINTS)]
         planned += [(service, replica, 0.050) for service in (BOOKING, STEADY)
                     for replica in range(REPLICAS)]
+        planned += [(ROTA, replica, 0.010)
+                    for replica in range(ROTA_ENDPOINTS)]
         endpoints = {}
         for index, (service, replica, work_s) in enumerate(planned):
             name = f"{service}-{replica}"
--- a/scripts/lib/soak_operator.py
+++ b/scripts/lib/soak_operator.py
@@ -15,9 +15,8 @@
 import soak_checks
 import soak_fleet
 import soak_plan
+from soak_record import SETTLED_S
 
-# A write is known to some host before the store's next fault or write.
-SETTLED_S = 1.0
 # When the operator writes again what a restored store has lost.
 WRITTEN_AGAIN_AFTER_S = 1.0
 WHOLE_LINK = {"stall": "none", "refuse": False, "reset_share": 0.0,
@@ -220,6 +219,13 @@
         self._fleet.store.configure(down=False, delay_s=0.0)
         self._note("store_mended")
 
+    def _silence_store(self, form, for_s):
+        self._note("store_silent", form=form)
+        self._fleet.store.fail(form)
+        time.sleep(for_s)
+        self._fleet.store.mend()
+        self._note("store_answers")
+
     def _store_back_up(self):
         self._copy, self._written = self._fleet.store.backup(), []
 
--- a/scripts/lib/soak_plan.py
+++ b/scripts/lib/soak_plan.py
@@ -13,6 +13,11 @@
 ENDPOINT_FAULTS = {"slow": 2, "silent": 1, "reset": 1, "refuse": 2, "ask_pause": 2}
 OPERATOR_STEPS = {"configure": 4, "drain": 2, "leave": 1, "zone_out": 1,
                   "store_down": 1, "store_slow": 1, "store_restore": 1}
+STORE_FAULTS = ("store_down", "store_slow", "store_restore")
+# Each so manieth seed leaves hosts, and the store but for its silences, without
+# faults: a host that starts, or whose calls fail, asks the store anew, and hides
+# that others wait for replies in vain.
+CALM_HOSTS_EVERY = 5
 # Of a host's link to the store.
 LINK_FAULTS = {"stall": {"stall": "both"}, "refuse": {"refuse": True, "cut": True},
                "reset": {"reset_share": 0.3}, "delay": {"delay_ms": 300}}
@@ -21,6 +26,8 @@
 FAULTY_SERVICES = (*soak_fleet.SHARDS, soak_fleet.LEDGER, soak_fleet.BOOKING)
 # The time at which a draining endpoint is replaced; past the drain time.
 REPLACED_AFTER_S = (4.0, 6.0)
+# How the store is silent towards calls that arrive, and those that wait already.
+SILENCES = ("silent", "dropped")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,12 +47,16 @@
 def make_plan(seed, seconds, hosts):
     """Steps by time, none later than `seconds`."""
     rng = random.Random(seed)
-    lanes = [_host_lane(rng, number, seconds) for number in range(1, hosts + 1)]
+    calm = seed % CALM_HOSTS_EVERY == 0
+    lanes = [] if calm else [_host_lane(rng, number, seconds)
+                             for number in range(1, hosts + 1)]
     lanes += [_endpoint_lane(rng, number, seconds)
               for number in range(ENDPOINT_LANES)]
-    lanes.append(_operator_lane(rng, seconds))
-    lanes.append(_link_lane(rng, hosts, seconds))
-    lanes += _herds(rng, hosts, seconds)
+    lanes.append(_operator_lane(rng, seconds, () if calm else STORE_FAULTS))
+    if not calm:
+        lanes.append(_link_lane(rng, hosts, seconds))
+        lanes += _herds(rng, hosts, seconds)
+    lanes += _silence_lanes(random.Random(f"{seed}/silences"), seconds)
     return sorted((step for lane in lanes for step in lane),
                   key=lambda step: (step.at_s, step.lane))
 
@@ -116,9 +127,38 @@
         at += arguments["for_s"] + _uniform(rng, 0.5, 4)
 
 
-def _operator_lane(rng, seconds):
+def _silence_lanes(rng, seconds):
+    """The store falls silent while endpoints come and go: some drain just before,
+    in and after each silence, and are replaced. A lane for the silences, and one
+    for each endpoint."""
+    silences, drains = [], []
+    at = _uniform(rng, 1.5, 4)
+    while at < seconds:
+        for_s = _uniform(rng, 0.3, 5)
+        silences.append(Step(at, "silence", "silence_store",
+                             {"form": rng.choice(SILENCES), "for_s": for_s}))
+        end = at + for_s
+        drains += [at - _uniform(rng, 0.02, 0.3), _uniform(rng, at, end),
+                   end + _uniform(rng, 0.05, 1), end + _uniform(rng, 1.5, 4)]
+        at = end + _uniform(rng, 0.5, 6)
+    lanes = [[] for _ in range(soak_fleet.ROTA_ENDPOINTS)]
+    for index, at in enumerate(sorted(drains)):
+        lane = lanes[index % len(lanes)]
+        # Its endpoint is back from its last drain by then.
+        if at >= seconds or (lane and at < lane[-1].at_s + 1):
+            continue
+        name = f"{soak_fleet.ROTA}-{index % len(lanes)}"
+        for when, action in ((at, "drain"),
+                             (at + _uniform(rng, *REPLACED_AFTER_S), "replace")):
+            lane.append(Step(round(when, 2), name, action, {"endpoint": name}))
+    return [silences, *lanes]
+
+
+def _operator_lane(rng, seconds, store_faults):
     """What the operator does; also the store's faults, as nothing can be written
     during them."""
+    steps = {action: weight for action, weight in OPERATOR_STEPS.items()
+             if action not in STORE_FAULTS or action in store_faults}
     at, version, zone_back = 1.0, 1, 0.0
     endpoints = [f"{service}-{replica}" for service in FAULTY_SERVICES
                  for replica in range(ENDPOINT_LANES)]
@@ -149,4 +189,4 @@
             yield Step(at, OPERATOR, action, arguments)
             at += arguments["for_s"]
         at += _uniform(rng, 1, 3)
-        action = _draw(rng, OPERATOR_STEPS)
+        action = _draw(rng, steps)
--- a/scripts/lib/soak_record.py
+++ b/scripts/lib/soak_record.py
@@ -8,6 +8,8 @@
 
 # A process that was paused is excused until this long after it went on.
 EXCUSED_S = 3.0
+# A write is known to some host this soon, if the store answers.
+SETTLED_S = 1.0
 
 
 @dataclasses.dataclass
@@ -66,6 +68,9 @@
                 self._link_faults[event["host"]][-1][1] = event["at"]
             elif "host" in event:
                 _follow(self._lives[event["host"]], event)
+        # Begin and end of each silence, and of other outages of the store.
+        self.silences = self._spans("store_silent", "store_answers")
+        self._broken = self._spans("store_broken", "store_mended")
         self.endpoints = {event["name"]: event
                           for event in self.events("endpoint")}
         # By request ID.
@@ -73,6 +78,13 @@
         for arrival in arrivals:
             self.arrivals_of[arrival["id"]].append(arrival)
 
+    def _spans(self, begin, end):
+        """Pairs of times from one event to the next of another name."""
+        ends = [event["at"] for event in self.events(end)]
+        return [(event["at"], min((at for at in ends if at > event["at"]),
+                                  default=math.inf))
+                for event in self.events(begin)]
+
     def events(self, name):
         """The operator's events of one name, by time."""
         return self._events[name]
@@ -103,6 +115,29 @@
         return any(self._reaches_store(life, since, since + EXCUSED_S)
                    for life in self.lives)
 
+    def _past_outages(self, at):
+        """From when a change made `at` had to become known: outages of the store
+        that it fell into, or met before it had to be known, excuse until their end.
+        Other outages than silences come later than SETTLED_S after a change, when
+        some host knows of it unless the store was silent shortly before."""
+        for begin, end in sorted(self.silences + self._broken):
+            follows_silence = any(silent - EXCUSED_S <= at <= answers + EXCUSED_S
+                                  for silent, answers in self.silences)
+            margin = EXCUSED_S if follows_silence else SETTLED_S
+            if begin <= at + margin and at < end:
+                at = end
+        return at
+
+    def _first_known(self, written):
+        """From when what was acknowledged at the times `written` had to be known; a
+        store that was restored before that had lost what it had until then."""
+        since = self._past_outages(written[0])
+        for restored in self.events("store_restored"):
+            if written[0] <= restored["at"] <= since:
+                again = [time for time in written if time > restored["at"]]
+                return self._first_known(again) if again else None
+        return since
+
     def known_since(self, life, written, at):
         """From when `life` had to know what was acknowledged at each of the times
         `written`, as of `at`; None if it did not have to. A process that started
@@ -110,13 +145,15 @@
         if not written or written[0] > at:
             return None
         if life.started <= written[0]:
-            since = written[0]
+            since = self._first_known(written)
+            if since is None:
+                return None
         else:
             latest = max(time for time in written if time <= at)
             if any(latest <= event["at"] <= at
                    for event in self.events("store_restored")):
                 return None
-            since = max(latest, life.started)
+            since = self._past_outages(max(latest, life.started))
         return since if self._told_to_some(since) else None
 
 
--- a/scripts/lib/soak_store.py
+++ b/scripts/lib/soak_store.py
@@ -16,7 +16,8 @@
 
 
 _Manager.register("serve", _serve,
-                  exposed=("backup", "restore", "put", "delete", "configure"))
+                  exposed=("backup", "restore", "put", "delete", "configure",
+                           "fail", "mend"))
 
 
 class StoreProcess:
