Soak: the wait for whole answers counts what its check counts

Cause: the wait for five whole answers in a row counted a probe that had begun before the end of all faults; the check does not. A host with few callers then broke "whole answers return" with 4 of 4.

Change: such probes don't count.

--- a/scripts/lib/soak_operator.py
+++ b/scripts/lib/soak_operator.py
@@ -42,6 +42,8 @@
         self._written = []
         self._probing = threading.Event()
         self._whole_in_a_row = dict.fromkeys(fleet.hosts, 0)
+        # Probes that began before do not count as answered after all faults.
+        self._counted_from = 0.0
         for endpoint in fleet.endpoints.values():
             self._note("endpoint", name=endpoint.name, service=endpoint.service,
                        size=len(endpoint.body),
@@ -57,9 +59,15 @@
         for step in plan:
             lanes.setdefault(step.lane, []).append(step)
         with concurrent.futures.ThreadPoolExecutor(len(lanes) or 1) as pool:
-            for played in [pool.submit(self._play_lane, steps, began)
-                           for steps in lanes.values()]:
-                played.result()
+            played = [pool.submit(self._play_lane, steps, began)
+                      for steps in lanes.values()]
+        try:
+            for lane in played:
+                lane.result()
+        except Exception:
+            # Its threads would keep a soak from ending that has failed.
+            self._probing.set()
+            raise
 
     def _play_lane(self, steps, began):
         for step in steps:
@@ -266,7 +274,8 @@
                     host, entry_fleet.FRONT, kind, f"{rng.getrandbits(64):016x}")
                 with self._lock:
                     self._probes.write(json.dumps(attempt) + "\n")
-            whole = attempt["headers"].get("Trefoilmill-Missing-Parts") == "0"
+            whole = (attempt["began"] >= self._counted_from and
+                     attempt["headers"].get("Trefoilmill-Missing-Parts") == "0")
             self._whole_in_a_row[number] = (
                 self._whole_in_a_row[number] + 1 if whole else 0)
 
@@ -274,8 +283,9 @@
 
     def end(self):
         """Ends all faults, waits for whole answers, and stops all hosts."""
-        self._whole_in_a_row = dict.fromkeys(self._fleet.hosts, 0)
         self._note("faults_ended")
+        self._counted_from = time.monotonic()
+        self._whole_in_a_row = dict.fromkeys(self._fleet.hosts, 0)
         until = time.monotonic() + RECOVERY_LIMIT_S
         while not self.recovered and time.monotonic() < until:
             time.sleep(PROBE_PAUSE_S)
