Requests that were read one behind the other are answered at a stop

Cause: while a process stops, each answer announced the close, whatever else had been read from its connection.

Ruled out, by the case's record: a second request that was not read yet (both came in one write 0.2 s before), and a handler that drops it (no endpoint and no line of the log has its ID).

Change: an answer announces the close only if no further request has been read whole.

--- a/src/libtmnet/http_responder.cc
+++ b/src/libtmnet/http_responder.cc
@@ -41,9 +41,12 @@
   UpdateUse();
 }
 
+bool server_connection::HasWholeRequestWaiting() const {
+  return !framing.empty() && framing.front().complete;
+}
+
 void server_connection::UpdateReadLimit() {
-  const bool one_waits = !framing.empty() && framing.front().complete;
-  const bool bounded = one_waits || IsInProgress();
+  const bool bounded = HasWholeRequestWaiting() || IsInProgress();
   if (bounded != std::exchange(read_ahead_bounded, bounded)) {
     bufferevent_setwatermark(bev, EV_READ, 0, bounded ? kMaxPipelinedBytes : 0);
   }
@@ -128,8 +131,10 @@
     return;
   }
   evhttp_request* request = evreq;
+  // A request that was read whole is answered, too, before the close.
   const bool close_connection =
-      truncate_to_bytes || server->close_after_responses;
+      truncate_to_bytes ||
+      (server->close_after_responses && !connection->HasWholeRequestWaiting());
   on_peer_disconnected = nullptr;
   connection->on_response_lost = std::exchange(on_response_lost, nullptr);
   // Bytes of a pipelined request are in the buffer already.
--- a/src/libtmnet/http_responder_impl.h
+++ b/src/libtmnet/http_responder_impl.h
@@ -81,6 +81,8 @@
   void OnAnswerSent();
   /// Whether a request has been handed on that has no answer yet.
   bool IsInProgress() const;
+  /// Whether a further request has been read whole.
+  bool HasWholeRequestWaiting() const;
   /// Bounds what is read ahead while a request is in progress or a whole one
   /// waits, so that requests one behind the other are read as they are handled.
   void UpdateReadLimit();
--- a/src/libtmnet/http_server_stop_test.cc
+++ b/src/libtmnet/http_server_stop_test.cc
@@ -99,6 +99,54 @@
   }));
 }
 
+// Of requests that were sent one behind the other, those after the first were
+// dropped with the connection.
+BOOST_FIXTURE_TEST_CASE(requests_one_behind_the_other_are_all_answered,
+                        fixture) {
+  std::vector<http_responder> kept;
+  auto listening = http_server::Listen(
+      *loop, {kTestIp, 0}, {},
+      [&](const http_request&, const http_responder& responder) {
+        kept.push_back(responder);
+      });
+  server = std::move(listening).value();
+  socket_client client(server->port());
+  client.Send(std::string(kRequest) + kRequest + kRequest);
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return kept.size() == 1; }));
+  server->CloseAfterResponses();
+  std::string received;
+  for (std::size_t number = 1; number <= 3; ++number) {
+    BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return kept.size() == number; }));
+    const std::string body = "answer " + std::to_string(number);
+    kept.back().Send({.status = 200, .body = body});
+    BOOST_TEST_REQUIRE(RunUntil(*loop, [&] {
+      received += client.Receive();
+      return received.find(body) != std::string::npos;
+    }));
+    // Only the last one announces the close.
+    BOOST_TEST((received.find("Connection: close") != std::string::npos) ==
+               (number == 3));
+  }
+  BOOST_TEST(RunUntil(*loop, [&] { return server->open_connections() == 0; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_is_not_whole_does_not_delay_the_close,
+                        fixture) {
+  std::optional<http_responder> kept;
+  auto listening = http_server::Listen(
+      *loop, {kTestIp, 0}, {},
+      [&](const http_request&, const http_responder& responder) {
+        kept = responder;
+      });
+  server = std::move(listening).value();
+  socket_client client(server->port());
+  client.Send(std::string(kRequest) + "GET /b HTTP/1.1\r\nHost:");
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return kept.has_value(); }));
+  server->CloseAfterResponses();
+  kept->Send(response);
+  BOOST_TEST(RunUntil(*loop, [&] { return server->open_connections() == 0; }));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_new_connection_may_send_its_first_request, fixture) {
   socket_client client(server->port());
   WaitForConnections(1);
