A connection that stays open counts in the sums of all

Callers saw: nothing. A connection that was chosen to be closed by the same read that made its request whole stayed open for the answer, and was left out of the bounds on what all connections hold for as long as it lived.

Cause: PostClose leaves a request in progress alone, and nothing undid the choice. Seen by reading; the test shows it: 0 connections and 0 bytes counted while one waits for its answer.

Change: it counts again (connection_budget::entry::KeepOpen), and may be chosen once more after its answer.

--- a/src/include/trefoilmill/net/connection_budget.h
+++ b/src/include/trefoilmill/net/connection_budget.h
@@ -34,6 +34,9 @@
     /// Memory that is held for the connection, in bytes, besides the fixed
     /// amount for each.
     void SetBytes(std::size_t bytes);
+    /// The connection was chosen to be closed, and stays open in `phase`: it
+    /// counts again.
+    void KeepOpen(time_point now, connection_phase phase);
     connection_phase phase() const;
     /// When the phase began.
     time_point since() const;
@@ -63,7 +66,8 @@
   void OnClosed(std::function<void(const closed_connections&)> task);
 
   /// Enters a connection that a server accepted. `close` begins to close it; it
-  /// is called at most once, and must neither destroy an entry nor add one.
+  /// is called once, or again after KeepOpen(), and must neither destroy an
+  /// entry nor add one.
   entry AddInbound(time_point now, std::function<void()> close);
   /// Enters a connection that this process opened; without `close` it is never
   /// closed for the budget.
--- a/src/libtmnet/connection_budget.cc
+++ b/src/libtmnet/connection_budget.cc
@@ -67,6 +67,17 @@
   }
 }
 
+void connection_budget::entry::KeepOpen(time_point now,
+                                        connection_phase phase) {
+  if (owner_ == nullptr || !held_->closing) {
+    return;
+  }
+  held_->closing = false;
+  held_->use.phase = phase;
+  held_->use.since = now;
+  owner_->Count(held_->use);
+}
+
 connection_phase connection_budget::entry::phase() const {
   return owner_ == nullptr ? connection_phase::kUnused : held_->use.phase;
 }
--- a/src/libtmnet/connection_budget_test.cc
+++ b/src/libtmnet/connection_budget_test.cc
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -174,4 +175,53 @@
   BOOST_TEST(server->open_connections() == 2U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_connection_that_stays_open_counts_again, fixture) {
+  const std::size_t own = AddReceiving(5000);
+  const std::size_t bytes = budget.bytes();
+  budget.SetLimits({.inbound = 0});
+  entries[own].SetBytes(6000);
+  BOOST_TEST(closed[own]);
+  BOOST_TEST(budget.inbound() == 0U);
+  BOOST_TEST(budget.bytes() == 0U);
+  closed[own] = false;
+  entries[own].KeepOpen(kNow, connection_phase::kInProgress);
+  BOOST_TEST(budget.inbound() == 1U);
+  BOOST_TEST(budget.bytes() == bytes + 1000);
+  entries[own].SetBytes(5000);
+  BOOST_TEST(!closed[own]);
+  // Once it has its answer it may be chosen again.
+  entries[own].SetPhase(kNow, connection_phase::kIdle);
+  entries[own].SetBytes(0);
+  BOOST_TEST(closed[own]);
+}
+
+// A connection was chosen to be closed by the same read that made its request
+// whole: it stayed open for the answer, and counted no more as long as it
+// lived.
+BOOST_AUTO_TEST_CASE(a_request_that_becomes_whole_as_it_is_chosen_counts) {
+  const auto loop = MakeLoop();
+  std::optional<http_responder> kept;
+  const auto server =
+      std::move(http_server::Listen(
+                    *loop, {kTestIp, 0}, {},
+                    [&](const http_request& /*request*/,
+                        const http_responder& responder) { kept = responder; })
+                    .value());
+  socket_client client(server->port());
+  client.Send("GET /a HTTP/1.1\r\nHost: ");
+  BOOST_TEST_REQUIRE(
+      RunUntil(*loop, [&] { return loop->connections().inbound() == 1; }));
+  RunFor(*loop, std::chrono::milliseconds(20));
+  loop->connections().SetLimits({.inbound = 0});
+  client.Send("h\r\n\r\n");
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return kept.has_value(); }));
+  RunFor(*loop, std::chrono::milliseconds(20));
+  BOOST_TEST(loop->connections().inbound() == 1U);
+  BOOST_TEST(loop->connections().bytes() > 0U);
+  kept->Send({.status = 200, .body = "whole"});
+  BOOST_TEST(RunUntil(*loop, [&] {
+    return client.Receive().find("whole") != std::string::npos;
+  }));
+}
+
 }  // namespace trefoilmill
--- a/src/libtmnet/http_server.cc
+++ b/src/libtmnet/http_server.cc
@@ -291,12 +291,18 @@
       return;
     }
     const auto found = (*owner)->connections.find(evcon);
-    const bool is_there = found != (*owner)->connections.end() &&
-                          found->second->id == id &&
-                          !found->second->IsInProgress();
-    if (is_there) {
-      evhttp_connection_free(evcon);
+    if (found == (*owner)->connections.end() || found->second->id != id) {
+      return;
+    }
+    server_connection& connection = *found->second;
+    if (connection.IsInProgress()) {
+      // Its request has become whole since it was chosen.
+      connection.use.KeepOpen((*owner)->loop.Now(),
+                              connection_phase::kInProgress);
+      connection.UpdateUse();
+      return;
     }
+    evhttp_connection_free(evcon);
   });
 }
 
--- a/src/libtmnet/http_server_impl.h
+++ b/src/libtmnet/http_server_impl.h
@@ -65,7 +65,8 @@
   /// Accepting failed, as it does when the process has no descriptor left.
   static void OnAcceptFailed(evconnlistener* listener, void* http);
   void HandleAcceptFailed(evconnlistener* listener);
-  /// Closes a connection, whatever it holds, in a later turn of the loop.
+  /// Closes a connection, whatever it holds, in a later turn of the loop,
+  /// unless a request is in progress on it by then.
   void PostClose(evhttp_connection* evcon, std::uint64_t id);
   /// The memory of a request that has been received.
   static std::size_t BytesOf(const message_framing::message& framed);
