Numbers of slots up to the largest one

Callers saw: nothing; seen by reading in the second review. An endpoint's entry with slots overflowed: its share of connections was -, so that it got none, and sums of slots in roll-outs overflowed, too.

Change: no sum of one such number in int.

Test: connection_share_test, the_number_of_slots_has_no_bound; failed on (- of 250). The sums of roll-outs have no test of their own.

--- a/src/include/trefoilmill/process/rollout_trial.h
+++ b/src/include/trefoilmill/process/rollout_trial.h
@@ -84,8 +84,8 @@
   struct endpoint_view {
     /// Slots of the endpoints of the new version that are warm and usable, and
     /// of all old ones.
-    int new_slots = 0;
-    int old_slots = 0;
+    std::int64_t new_slots = 0;
+    std::int64_t old_slots = 0;
     /// Endpoints of the new version.
     std::size_t new_endpoints = 0;
     /// Requests of this host under way to old endpoints.
--- a/src/libtrefoilmill/connection/connection_share.cc
+++ b/src/libtrefoilmill/connection/connection_share.cc
@@ -75,7 +75,9 @@
     const double advertised_total =
         std::min(allocatable, kAdvertisedFraction * capacity.max_connections);
     const int share = static_cast<int>(advertised_total / advertised);
-    return std::clamp(share, 1, capacity.slots + 1);
+    // At most one more than the slots, whose number may be the largest there
+    // is.
+    return std::max(1, std::min(share - 1, capacity.slots) + 1);
   }
   const std::size_t replicas =
       ReplicasPerHost(capacity.replicas.size(), allocatable, advertised);
--- a/src/libtrefoilmill/connection/connection_share_test.cc
+++ b/src/libtrefoilmill/connection/connection_share_test.cc
@@ -3,6 +3,7 @@
 #include "trefoilmill/connection/connection_share.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <map>
 #include <string>
 
@@ -37,6 +38,22 @@
   BOOST_TEST(Share(Host(1), 1, endpoint_id("a"), 500) == 5);
 }
 
+// Entries come from other writers, too. One more than the largest number of
+// slots was negative, so that the endpoint got no connection.
+BOOST_AUTO_TEST_CASE(the_number_of_slots_has_no_bound) {
+  const auto share = [](int slots) {
+    return ConnectionShare(Host(1), {.advertised = 1},
+                           {.replicas = all_replicas,
+                            .endpoint = endpoint_id("a"),
+                            .max_connections = 500,
+                            .slots = slots});
+  };
+  BOOST_TEST(share(std::numeric_limits<int>::max()) == 250);
+  BOOST_TEST(share(std::numeric_limits<int>::max() - 1) == 250);
+  BOOST_TEST(share(4) == 5);
+  BOOST_TEST(share(1) == 2);
+}
+
 // All hosts lose power and restart while the endpoint still counts their
 // previous connections. In one run, 1,986 connections were reset because they
 // exceeded the limit, and shards waited for a connection until the deadline.
