connection_budget_test lifts the limit before its answer

Cause: the new case kept a limit of no connection while it waited for the answer; beyond a limit a connection may be closed as soon as it has its answer, and was. What the case guards against is checked before as it was.

--- a/src/libtmnet/connection_budget_test.cc
+++ b/src/libtmnet/connection_budget_test.cc
@@ -218,6 +218,8 @@
   RunFor(*loop, std::chrono::milliseconds(20));
   BOOST_TEST(loop->connections().inbound() == 1U);
   BOOST_TEST(loop->connections().bytes() > 0U);
+  // Beyond the limit it would be closed as soon as it has its answer.
+  loop->connections().SetLimits({});
   kept->Send({.status = 200, .body = "whole"});
   BOOST_TEST(RunUntil(*loop, [&] {
     return client.Receive().find("whole") != std::string::npos;
