An endpoint's answer counts only if it echoes the request's ID

Cause: an answer without an ID passed as the request's own. Health requests have none and went over the connections of requests, so that the late second copy of a rejected one met the next request.

Ruled out, by the case's record: an answer with another ID (rejected already), an endpoint that says "not run" of what it runs (its own answer came last), and bytes that are split at the wrong place (the copy is byte for byte).

Change: nothing in an answer without the request's ID is read, and its connection is closed; a health request's answer must have none, and its connection is closed after it. A metric counts such answers.

--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -434,10 +434,12 @@
         endpoint.arrivals.append(time.monotonic())
         identity = request.headers["Trefoilmill-Request-Id"]
         expected = request.headers.get("Trefoilmill-Expect-Instance")
+        echo = {"Trefoilmill-Request-Id": identity}
         if expected not in (None, endpoint.instance):
-            return 421, {"Trefoilmill-Instance-Id": endpoint.instance}, b""
+            return 421, echo | {
+                "Trefoilmill-Instance-Id": endpoint.instance}, b""
         if endpoint.refuses:
-            headers = {"Trefoilmill-Not-Executed": "1"}
+            headers = echo | {"Trefoilmill-Not-Executed": "1"}
             if endpoint.retry_after_s is not None:
                 headers["Retry-After"] = str(endpoint.retry_after_s)
             return 503, headers, b""
@@ -452,9 +454,8 @@
             return None
         if endpoint.fails:
             return None
-        headers = {"Trefoilmill-Request-Id": identity,
-                   "Trefoilmill-Server-Stamp":
-                       f"{endpoint.instance}.{identity}"}
+        headers = echo | {
+            "Trefoilmill-Server-Stamp": f"{endpoint.instance}.{identity}"}
         failing = endpoint.error_every
         if failing and len(endpoint.runs) % failing == 0:
             return 500, headers, b""
--- a/scripts/lib/soak_endpoints.py
+++ b/scripts/lib/soak_endpoints.py
@@ -107,6 +107,7 @@
 
     async def _respond(self, endpoint, arrival, request):
         response = await self._answer(endpoint, arrival, request)
+        response.headers["Trefoilmill-Request-Id"] = arrival["id"]
         if endpoint.leaving:
             arrival["leaving"] = True
             response.headers["Server-Leaving"] = "1"
@@ -130,5 +131,4 @@
         if endpoint.resetting and request.transport is not None:
             request.transport.abort()
         return web.Response(body=endpoint.body, headers={
-            "Trefoilmill-Request-Id": arrival["id"],
             "Trefoilmill-Server-Stamp": f"{instance}.{arrival['id']}"})
--- a/src/include/trefoilmill/net/metrics.h
+++ b/src/include/trefoilmill/net/metrics.h
@@ -34,6 +34,7 @@
   kOpenConnections,
   kConnectionsOpened,
   kConnectionFailures,
+  kForeignResponses,
   kHosts,
   kOwnershipChanges,
   kPeerMessages,
--- a/src/libtmnet/metrics_table.cc
+++ b/src/libtmnet/metrics_table.cc
@@ -142,6 +142,12 @@
        "Connections to endpoints that failed, by how: refused or reset.",
        {"how"},
        {}},
+      {metric::kForeignResponses,
+       kCounter,
+       "trefoilmill_endpoint_foreign_responses_total",
+       "Responses of endpoints that do not echo their request's ID.",
+       {},
+       {}},
   };
 }
 
--- a/src/trefoilmill_entry/connection_pools.cc
+++ b/src/trefoilmill_entry/connection_pools.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "platform/endpoint_notice.h"
+#include "platform/http_conversion.h"
 #include "trefoilmill_entry/connection_pools_impl.h"
 
 namespace trefoilmill::entry {
@@ -152,6 +153,7 @@
   connection& c = **idle;
   c.busy = true;
   c.attempt = attempt;
+  c.request_id = platform::RequestIdOf(request);
   c.done = std::move(done);
   connections_by_attempt_[attempt] = &c;
   c.http->Send(request, timeout, [this, &p, &c](http_result exchange) {
@@ -170,13 +172,18 @@
   connections_by_attempt_.erase(c.attempt);
   c.busy = false;
   c.idle_since = loop_.Now();
+  const bool is_own = !exchange.response.has_value() ||
+                      platform::IsResponseTo(c.request_id, *exchange.response);
   if (exchange.response.has_value()) {
     c.has_replied = true;
     p.reopen_delay = duration::zero();
-    if (const auto timeout =
-            platform::ParseKeepAliveTimeout(*exchange.response)) {
-      p.idle_timeout = *timeout;
-    }
+  }
+  if (!is_own) {
+    telemetry_.meter->Increment(metric::kForeignResponses);
+    exchange = {.failure_reason = http_failure::kMalformed};
+  } else if (exchange.response.has_value()) {
+    p.idle_timeout = platform::ParseKeepAliveTimeout(*exchange.response)
+                         .value_or(p.idle_timeout);
   }
   const auto done = std::exchange(c.done, nullptr);
   const endpoint_id id = p.id;
@@ -184,6 +191,8 @@
     Close(p, c);
   } else if (!c.http->connected()) {
     OnClosed(p, c, exchange.failure_reason == http_failure::kConnectionLost);
+  } else if (!is_own || c.has_carried_probe) {
+    Close(p, c);
   } else {
     ReportIdleCount(p);
   }
@@ -197,6 +206,8 @@
   }
   c.busy = true;
   c.attempt = {};
+  c.request_id.reset();
+  c.has_carried_probe = true;
   const probe sent = *std::exchange(p.probe, std::nullopt);
   c.done = sent.done;
   c.http->Send(sent.request, kProbeTimeout,
--- a/src/trefoilmill_entry/connection_pools_impl.h
+++ b/src/trefoilmill_entry/connection_pools_impl.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "trefoilmill_entry/connection_pools.h"
@@ -23,6 +24,12 @@
   /// Whether a reply has arrived on it.
   bool has_replied = false;
   time_point idle_since;
+  /// The ID of the request in progress; unset for a probe, and once a probe was
+  /// sent.
+  std::optional<std::string> request_id;
+  /// A probe was sent on it. A late second response to that has no ID, so that
+  /// it could not be told from the one to a later probe.
+  bool has_carried_probe = false;
   attempt_id attempt;
   http_connection::result_callback done;
 };
--- a/src/trefoilmill_entry/connection_pools_test.cc
+++ b/src/trefoilmill_entry/connection_pools_test.cc
@@ -53,6 +53,79 @@
                          [](const http_result&) {}));
 }
 
+namespace {
+
+http_request RequestWithId(const std::string& id) {
+  return {.method = "GET",
+          .headers = {{"Host", "h"}, {"Trefoilmill-Request-Id", id}},
+          .target = "/x"};
+}
+
+std::string ReplyWith(const std::string& headers) {
+  return "HTTP/1.1 503 X\r\n" + headers + "Content-Length: 2\r\n\r\nno";
+}
+
+}  // namespace
+
+// A response without the request's ID may be a late second copy of another one:
+// nothing that it says is believed, and what is still due on its connection is
+// not taken for the response to the next request.
+BOOST_FIXTURE_TEST_CASE(a_response_to_something_else_closes_its_connection,
+                        fixture) {
+  for (const char* headers :
+       {"", "Trefoilmill-Request-Id: other\r\n",
+        "Trefoilmill-Not-Executed: 1\r\nRetry-After: 2\r\n"}) {
+    const raw_server server(*loop, ReplyWith(headers),
+                            raw_server_action::kKeepOpen);
+    const endpoint_id id(std::string("e") + headers);
+    Open(id, server);
+    std::optional<http_result> exchange;
+    pools.Send(id, attempt_id(1), RequestWithId("own"), seconds(10),
+               [&](http_result reply) { exchange = std::move(reply); });
+    BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return exchange.has_value(); }));
+    BOOST_TEST(!exchange->response.has_value());
+    BOOST_TEST((exchange->failure_reason == http_failure::kMalformed));
+    // A new connection takes its place.
+    BOOST_TEST(RunUntil(*loop, [&] { return server.accepted() == 2; }));
+    pools.Remove(id);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_response_with_the_requests_id_keeps_its_connection,
+                        fixture) {
+  const raw_server server(*loop, ReplyWith("Trefoilmill-Request-Id: own\r\n"),
+                          raw_server_action::kKeepOpen);
+  Open(a, server);
+  for (int request = 0; request < 3; ++request) {
+    std::optional<http_result> exchange;
+    pools.Send(a, attempt_id(request + 1), RequestWithId("own"), seconds(10),
+               [&](http_result reply) { exchange = std::move(reply); });
+    BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return exchange.has_value(); }));
+    BOOST_TEST(exchange->response.has_value());
+  }
+  BOOST_TEST(server.accepted() == 1);
+}
+
+// A health request has no ID, so that a second response to it could not be told
+// from that to the next one.
+BOOST_FIXTURE_TEST_CASE(a_probes_connection_carries_no_request, fixture) {
+  const raw_server server(*loop, kReply, raw_server_action::kKeepOpen);
+  Open(a, server);
+  const int idle_before = idle_events;
+  bool is_sound = false;
+  pools.CheckEndpoint(
+      a, connection_pools::probe{.request = Request(),
+                                 .done = [&](const http_result& exchange) {
+                                   is_sound = exchange.response.has_value();
+                                 }});
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return is_sound; }));
+  BOOST_TEST_REQUIRE(RunUntil(*loop, [&] { return server.accepted() == 2; }));
+  BOOST_TEST_REQUIRE(
+      RunUntil(*loop, [&] { return idle_events > idle_before + 1; }));
+  BOOST_TEST(pools.Send(a, attempt_id(1), RequestWithId("own"), seconds(10),
+                        [](const http_result&) {}));
+}
+
 // A request that was sent to an endpoint whose only connection a probe uses
 // failed at once.
 BOOST_FIXTURE_TEST_CASE(a_connection_that_a_probe_uses_is_not_idle, fixture) {
