Soak: an endpoint's entry keeps the time of its start

Cause: each write of an entry stated another start. The host's log shows it: draining at 0.2 s, ready again with the restoration, draining once it was written again. Ruled out: a drain that came late (no request from 0 to 2.3 s).

--- a/scripts/lib/soak_fleet.py
+++ b/scripts/lib/soak_fleet.py
@@ -104,6 +104,8 @@
                                            entry_fleet.STORE_PORT)
         self.store = self._store_process.content
         self.endpoints = self._make_endpoints()
+        # When each instance started, in ms.
+        self._born = {}
         self._endpoint_process = Endpoints(
             f"{network}.2.1", CONTROL_PORT, self.endpoints.values(),
             self._endpoint_records)
@@ -144,7 +146,8 @@
                 "address": f"{self.network}.2.1:{endpoint.port}",
                 "zone": endpoint.zone, "version": "v1", "max_concurrency": 6,
                 "state": state, "warmup_left_ms": 0, "sequence": 1,
-                "born": int(1000 * time.monotonic())}
+                "born": self._born.setdefault(
+                    endpoint.instance, int(1000 * time.monotonic()))}
 
     def start_host(self, number):
         link = {"store": self.links.address(number)} if self.links else {}
