--- a/src/include/trefoilmill/version/store_follower.h
+++ b/src/include/trefoilmill/version/store_follower.h
@@ -31,13 +31,14 @@
     /// Delay after a change, so that changes in quick succession cost one call.
     duration change_delay = std::chrono::milliseconds(100);
     /// Delay after a first failed call; doubles with each further failure, up
-    /// to `max_backoff`. A call without a reply is not followed by a longer
-    /// one: its limit has kept the calls apart already.
+    /// to `max_backoff`. After a call without a reply it does not grow: the
+    /// limit of that call has kept the calls apart.
     duration initial_backoff = std::chrono::milliseconds(150);
     duration max_backoff = std::chrono::milliseconds(1000);
     /// How long a watch may take to bring a change whose revision the store has
-    /// stated otherwise, until it is checked. Replies to two watches that end
-    /// with the same change arrive this close to each other.
+    /// stated otherwise, until it is checked. The replies to two watches that
+    /// the same change ends arrive less than this apart, unless the store is
+    /// slow.
     duration check_delay = std::chrono::milliseconds(100);
   };
 
--- a/src/trefoilmill_entry/connection_pools_impl.h
+++ b/src/trefoilmill_entry/connection_pools_impl.h
@@ -24,8 +24,7 @@
   /// Whether a reply has arrived on it.
   bool has_replied = false;
   time_point idle_since;
-  /// The ID of the request in progress; unset for a probe, and once a probe was
-  /// sent.
+  /// The ID of the request in progress; unset for a probe.
   std::optional<std::string> request_id;
   /// A probe was sent on it. A late second response to that has no ID, so that
   /// it could not be told from the one to a later probe.
--- a/src/trefoilmill_entry/store_sync.cc
+++ b/src/trefoilmill_entry/store_sync.cc
@@ -357,8 +357,8 @@
           }
         }
         if (!followed.follower.is_checking()) {
-          // The watch has ended meanwhile, and the next one begins after what
-          // it brought. What this reply brings is not known to this host then.
+          // The watch has ended meanwhile, and the next one asks for what
+          // this reply brings. It must not count as seen before that.
           return;
         }
         const auto changes = is_answered
