--- a/scripts/lib/soak_checks.py
+++ b/scripts/lib/soak_checks.py
@@ -399,8 +399,8 @@
 
 PROMISES = (answered_around_stops, stops_end_in_time, answers_are_true,
             runs_at_most_once, refused_did_not_run, draining_gets_nothing,
-            known_around_silences, pauses_are_heeded, new_routes_are_served, versions_never_fall,
-            whole_answers_return)
+            known_around_silences, pauses_are_heeded, new_routes_are_served,
+            versions_never_fall, whole_answers_return)
 
 
 def judge(record):
