--- a/src/trefoilmill_entry/connection_pools_test.cc
+++ b/src/trefoilmill_entry/connection_pools_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "libtmnet/net_test_support.h"
+#include "platform/headers.h"
 
 namespace trefoilmill::entry {
 namespace {
@@ -57,10 +58,14 @@
 
 http_request RequestWithId(const std::string& id) {
   return {.method = "GET",
-          .headers = {{"Host", "h"}, {"Trefoilmill-Request-Id", id}},
+          .headers = {{"Host", "h"}, {platform::kRequestIdHeader, id}},
           .target = "/x"};
 }
 
+std::string Line(const std::string& header, const std::string& value) {
+  return header + ": " + value + "\r\n";
+}
+
 std::string ReplyWith(const std::string& headers) {
   return "HTTP/1.1 503 X\r\n" + headers + "Content-Length: 2\r\n\r\nno";
 }
@@ -72,12 +77,13 @@
 // not taken for the response to the next request.
 BOOST_FIXTURE_TEST_CASE(a_response_to_something_else_closes_its_connection,
                         fixture) {
-  for (const char* headers :
-       {"", "Trefoilmill-Request-Id: other\r\n",
-        "Trefoilmill-Not-Executed: 1\r\nRetry-After: 2\r\n"}) {
+  for (const std::string& headers :
+       {std::string(), Line(platform::kRequestIdHeader, "other"),
+        Line(platform::kNotExecutedHeader, "1") +
+            Line(platform::kRetryAfterHeader, "2")}) {
     const raw_server server(*loop, ReplyWith(headers),
                             raw_server_action::kKeepOpen);
-    const endpoint_id id(std::string("e") + headers);
+    const endpoint_id id("e" + headers);
     Open(id, server);
     std::optional<http_result> exchange;
     pools.Send(id, attempt_id(1), RequestWithId("own"), seconds(10),
@@ -93,7 +99,8 @@
 
 BOOST_FIXTURE_TEST_CASE(a_response_with_the_requests_id_keeps_its_connection,
                         fixture) {
-  const raw_server server(*loop, ReplyWith("Trefoilmill-Request-Id: own\r\n"),
+  const raw_server server(*loop,
+                          ReplyWith(Line(platform::kRequestIdHeader, "own")),
                           raw_server_action::kKeepOpen);
   Open(a, server);
   for (int request = 0; request < 3; ++request) {
