request_relay_fuzz_test waits for what a caller has sent

Cause: a round ended 2 ms after its last byte was written.

Change: a round ends once its caller's connection is closed and nothing is under way. What is compared is the same.

--- a/src/trefoilmill_entry/request_relay_fuzz_test.cc
+++ b/src/trefoilmill_entry/request_relay_fuzz_test.cc
@@ -222,16 +222,21 @@
       connection->Connect([&](bool success) { connected = success; });
     }
     BOOST_REQUIRE(RunUntil(*loop, [&] { return connected; }));
-    raw_client caller(*loop, server->port());
-    std::size_t written = 0;
-    for (const std::size_t split : splits) {
-      caller.Write(text.substr(written, split - written));
-      written = split;
-      RunFor(*loop, std::chrono::microseconds(200));
+    {
+      raw_client caller(*loop, server->port());
+      std::size_t written = 0;
+      for (const std::size_t split : splits) {
+        caller.Write(text.substr(written, split - written));
+        written = split;
+        RunFor(*loop, std::chrono::microseconds(200));
+      }
+      caller.Write(text.substr(written));
+      RunFor(*loop, std::chrono::milliseconds(2));
     }
-    caller.Write(text.substr(written));
-    RunFor(*loop, std::chrono::milliseconds(2));
-    BOOST_REQUIRE(RunUntil(*loop, [&] { return sent_on == 0; }));
+    // Nothing of this text is left then to arrive beside the next one.
+    BOOST_REQUIRE(RunUntil(*loop, [&] {
+      return server->open_connections() == 0 && sent_on == 0;
+    }));
     return endpoint.received().substr(before);
   }
 };
